--- a/internal/simwire/settings.go
+++ b/internal/config/settings.go
@@ -1,8 +1,10 @@
-package simwire
+package config
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"sorrelplank.example/sorrelplank/aggregator"
 )
@@ -45,28 +47,28 @@
 	"safe": aggregator.Safe, "keyed": aggregator.Keyed, "unsafe": aggregator.Unsafe,
 }
 
-// settings decodes the settings object into the module's terms.
-func settings(raw json.RawMessage) (aggregator.Settings, error) {
+// Settings decodes the settings object into the module's terms.
+func Settings(raw json.RawMessage) (aggregator.Settings, error) {
 	var w wireSettings
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return aggregator.Settings{}, fmt.Errorf("Settings: %w", err)
 	}
 	s := aggregator.Settings{
-		Zone: w.Az, Aggregators: w.Balancers, Tick: duration(w.TickS), OverShareWorth: w.OverShareWorth,
+		Zone: w.Az, Aggregators: w.Balancers, Tick: Duration(w.TickS), OverShareWorth: w.OverShareWorth,
 		WorthByWork: w.WorthBy == "work", Cells: w.FamilyInfo.Sets, Shards: w.FamilyInfo.Slabs,
-		Reach: w.FamilyInfo.Width, CallCost: duration(w.FamilyInfo.CallCostS), WarmKeys: w.FamilyInfo.WarmKeys,
+		Reach: w.FamilyInfo.Width, CallCost: Duration(w.FamilyInfo.CallCostS), WarmKeys: w.FamilyInfo.WarmKeys,
 		LateFailPrice: w.Prices.LateFail, Subscribe: w.Discovery == "subscribe",
 		Limits: aggregator.Limits{
 			Attempts: w.Limits.SendCap, MaxOpen: w.Limits.MaxOpen, Bundle: w.FamilyInfo.BundleMax,
 			Cancel: w.Limits.Cancel, Copies: w.Limits.MayDuplicate, Probes: w.Limits.MayProbe, Peers: w.Limits.PeerMessages,
-			RetryAfter: w.Limits.RetryAfter, MaxRetryAfter: duration(w.Limits.MaxRetryAfterS),
-			ConnectTimeout: duration(w.Limits.ConnectTimeoutS), ConnIdle: duration(w.Limits.ConnIdleS),
+			RetryAfter: w.Limits.RetryAfter, MaxRetryAfter: Duration(w.Limits.MaxRetryAfterS),
+			ConnectTimeout: Duration(w.Limits.ConnectTimeoutS), ConnIdle: Duration(w.Limits.ConnIdleS),
 		},
 		Rules: aggregator.Rules{
-			DrainGrace: duration(w.Rules.DrainGraceS), FallMultiple: w.Rules.FallMultiple,
-			FallWindow: duration(w.Rules.TipAfterS), ColdShare: w.Rules.StartCapacity,
-			WarmAfter: duration(w.Rules.WarmAfterS), BudgetWindow: duration(w.Rules.BudgetWindowS),
-			BudgetFree: w.Rules.BudgetFree, BudgetShare: w.Rules.ExtraPerRequest, AskEvery: duration(w.Rules.AskEveryS),
+			DrainGrace: Duration(w.Rules.DrainGraceS), FallMultiple: w.Rules.FallMultiple,
+			FallWindow: Duration(w.Rules.TipAfterS), ColdShare: w.Rules.StartCapacity,
+			WarmAfter: Duration(w.Rules.WarmAfterS), BudgetWindow: Duration(w.Rules.BudgetWindowS),
+			BudgetFree: w.Rules.BudgetFree, BudgetShare: w.Rules.ExtraPerRequest, AskEvery: Duration(w.Rules.AskEveryS),
 		},
 	}
 	for _, p := range w.Parties {
@@ -84,7 +86,7 @@
 			effect = aggregator.Unsafe
 		}
 		class := aggregator.Class{
-			Name: c.Name, Aim: duration(c.AimS), Deadline: duration(c.HardLimitS), Memory: duration(c.MemorySpanS),
+			Name: c.Name, Aim: Duration(c.AimS), Deadline: Duration(c.HardLimitS), Memory: Duration(c.MemorySpanS),
 			Effect: effect, Worth: c.Gain, LateWorth: c.LateWorth, Need: at(info.ClassNeed, i, 1),
 			Floor: at(info.FloorByClass, i, 1), Partial: at(info.PartialEarns, i, 0), Fetch: at(info.ClassFetch, i, 0),
 		}
@@ -100,3 +102,9 @@
 	}
 	return missing
 }
+
+// Duration turns seconds into a Duration, rounded to the wire's microseconds.
+func Duration(s float64) time.Duration {
+	us := math.Round(s * 1e6)
+	return time.Duration(math.Max(-9e15, math.Min(9e15, us*1e3)))
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,560 @@
+// Package core puts the decision module behind a facade in blocking style. It owns the open queries, the
+// values of their parts, the one final answer of each, and the only loop that calls the module's Step. A
+// front asks (Ask) and waits for the answer; a carrier picks up what a data node is to be sent (Pick) and
+// reports how it ended (Report); Tick moves time. It must never know a wire, block in the loop, decide
+// what the module decides, or let a caller see the module's events and actions.
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"sorrelplank.example/sorrelplank/aggregator"
+)
+
+// ErrInput marks a query that never reached the module: what was asked can't be understood.
+var ErrInput = errors.New("bad query")
+
+// ErrGone tells that the client left before the answer.
+var ErrGone = errors.New("client gone")
+
+// Query is what a client asks, as a front read it.
+type Query struct {
+	ID       string
+	Class    string
+	Owner    string
+	Retry    bool
+	Deadline time.Time
+	Text     string // what each part carries
+	Parts    []Part
+}
+
+// Part is one shard's share of a query.
+type Part struct {
+	Shard  int
+	Weight float64
+	Work   time.Duration // expected; 0 where not known
+	Key    string
+}
+
+// Verdict is what a final answer says.
+type Verdict int
+
+// The verdicts.
+const (
+	Answered Verdict = iota + 1
+	Refused          // asking again is harmless
+	Failed
+)
+
+// Answer is the one final answer of a query.
+type Answer struct {
+	Verdict Verdict
+	Whole   bool
+	Hits    []Hit
+	After   time.Duration // Refused: when to come back; 0 for no advice
+}
+
+// Hit is the value of one part, as a data node gave it.
+type Hit struct {
+	Shard int
+	Value []byte
+}
+
+// Outcome is how an attempt or a probe ended.
+type Outcome int
+
+// The outcomes that a carrier reports.
+const (
+	Served       Outcome = iota + 1
+	Errored              // it may have run
+	Busy                 // turned away unseen
+	NotConnected         // never written whole
+	Reset                // the connection ended after it was written
+	Dropped              // given up as ordered
+)
+
+// Result goes with a Report.
+type Result struct {
+	Outcome Outcome
+	Value   []byte
+	Load    map[string]float64
+}
+
+// Attempt is one sending of a part to a data node. Its Deadline is when the answer is of no more use.
+type Attempt struct {
+	ID       string
+	Shard    int
+	Text     string
+	Deadline time.Time
+
+	number int
+	part   *part
+	node   *Node
+	why    aggregator.Outcome // of a drop that was ordered
+	over   bool
+}
+
+// Order is one thing that a carrier is to do at a data node; one field is set.
+type Order struct {
+	Call      []*Attempt // to be sent as one call
+	Drop      *Attempt   // to be given up at the data node, then reported as Dropped
+	Probe     bool       // to be answered by Probed
+	CloseIdle bool       // idle connections are to be closed
+}
+
+// State is what a list says of a data node.
+type State int
+
+// The states of a data node.
+const (
+	Serving State = iota
+	Draining
+	Gone
+)
+
+// Member is one entry of a list of data nodes.
+type Member struct {
+	ID, Addr, Zone string
+	Cell           int
+	State          State
+	Weight         float64
+	Started        time.Time // zero means long ago
+}
+
+type query struct {
+	Query
+	parts []*part
+	reply chan Answer
+	over  bool
+}
+
+type part struct {
+	id    string
+	q     *query
+	shard int
+	value []byte
+	in    bool
+	tries []*Attempt
+}
+
+// input is what has happened since the last Step.
+type input struct {
+	event   aggregator.Event
+	attempt *Attempt
+	value   []byte
+	ask     *query
+}
+
+// Core is the facade. Its methods may be called from any goroutine, but for Run.
+type Core struct {
+	set     aggregator.Settings
+	seed    uint64
+	log     *slog.Logger
+	start   time.Time
+	classes map[string]int
+	tenants map[string]int
+	notify  chan struct{}
+
+	mu      sync.Mutex // guards what follows and nodes' fields; never held over Step
+	inbox   []input
+	nodes   map[string]*Node
+	fleets  []*Fleet
+	pending int // queries and parts held, those in the inbox included
+
+	// The loop's own.
+	agg      *aggregator.Aggregator
+	queries  map[string]*query
+	parts    map[string]*part
+	attempts map[*Attempt]bool
+	actions  []aggregator.Action
+	wake     time.Time
+	last     time.Time
+}
+
+// New returns a core for the settings; the seed settles the module's random choices.
+func New(set aggregator.Settings, seed uint64, log *slog.Logger) (*Core, error) {
+	agg, err := aggregator.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{set: set, seed: seed, log: log, start: time.Now(), classes: map[string]int{}, tenants: map[string]int{},
+		notify: make(chan struct{}, 1), nodes: map[string]*Node{}, agg: agg, queries: map[string]*query{},
+		parts: map[string]*part{}, attempts: map[*Attempt]bool{}}
+	for i, class := range set.Classes {
+		c.classes[class.Name] = i
+	}
+	for i, tenant := range set.Tenants {
+		c.tenants[tenant.Name] = i
+	}
+	return c, nil
+}
+
+// clock turns a time into the module's clock, which starts at an hour so that a start before ours is above 0.
+func (c *Core) clock(t time.Time) time.Duration { return t.Sub(c.start) + time.Hour }
+
+// put adds inputs, all for the same Step.
+func (c *Core) put(inputs ...input) {
+	c.mu.Lock()
+	c.inbox = append(c.inbox, inputs...)
+	c.mu.Unlock()
+	select {
+	case c.notify <- struct{}{}:
+	default:
+	}
+}
+
+// check finds what can't be asked; the message is for the client.
+func (c *Core) check(q *Query) error {
+	if _, known := c.classes[q.Class]; !known {
+		return fmt.Errorf("%w: unknown class %q", ErrInput, q.Class)
+	}
+	if _, known := c.tenants[q.Owner]; !known && len(c.tenants) > 0 {
+		return fmt.Errorf("%w: unknown owner %q", ErrInput, q.Owner)
+	}
+	if q.ID == "" || len(q.ID) > 128 {
+		return fmt.Errorf("%w: id of %d bytes", ErrInput, len(q.ID))
+	}
+	for _, r := range q.ID {
+		if r <= ' ' || r > '~' {
+			return fmt.Errorf("%w: id %q", ErrInput, q.ID)
+		}
+	}
+	if len(q.Parts) == 0 {
+		return fmt.Errorf("%w: no shards", ErrInput)
+	}
+	seen := map[int]bool{}
+	for _, p := range q.Parts {
+		if p.Shard < 0 || p.Shard >= c.set.Shards || seen[p.Shard] {
+			return fmt.Errorf("%w: unknown or repeated shard %d", ErrInput, p.Shard)
+		}
+		if !(p.Weight >= 0) || math.IsInf(p.Weight, 0) || p.Work < 0 {
+			return fmt.Errorf("%w: weight or cost of shard %d", ErrInput, p.Shard)
+		}
+		seen[p.Shard] = true
+	}
+	if !q.Deadline.After(time.Now()) {
+		return fmt.Errorf("%w: deadline has passed", ErrInput)
+	}
+	return nil
+}
+
+// Ask takes a query and waits for its final answer. An error wraps ErrInput, where the query was not taken,
+// or is ErrGone, where ctx ended first.
+func (c *Core) Ask(ctx context.Context, asked Query) (Answer, error) {
+	if err := c.check(&asked); err != nil {
+		return Answer{}, err
+	}
+	q := &query{Query: asked, reply: make(chan Answer, 1)}
+	size := 1 + len(asked.Parts)
+	c.mu.Lock()
+	full := c.set.Limits.MaxOpen > 0 && c.pending >= c.set.Limits.MaxOpen
+	if !full {
+		c.pending += size
+	}
+	c.mu.Unlock()
+	if full {
+		return Answer{Verdict: Refused, After: c.set.Limits.MaxRetryAfter / 2}, nil
+	}
+	inputs := []input{{ask: q}}
+	tenant, known := c.tenants[asked.Owner]
+	if !known {
+		tenant = -1
+	}
+	inputs[0].event = aggregator.Event{Kind: aggregator.QueryArrived, Query: q.ID, Class: c.classes[q.Class],
+		Tenant: tenant, Count: len(q.Parts), Retry: q.Retry, Left: time.Until(q.Deadline)}
+	for _, p := range asked.Parts {
+		made := &part{id: q.ID + "." + strconv.Itoa(p.Shard), q: q, shard: p.Shard}
+		q.parts = append(q.parts, made)
+		inputs = append(inputs, input{ask: q, event: aggregator.Event{Kind: aggregator.PartArrived, Query: q.ID,
+			Part: made.id, Shard: p.Shard, Weight: p.Weight, Work: p.Work, Key: p.Key}})
+	}
+	c.put(inputs...)
+	select {
+	case answer := <-q.reply:
+		return answer, nil
+	case <-ctx.Done():
+		c.put(input{event: aggregator.Event{Kind: aggregator.ClientGone, Query: q.ID}, ask: q})
+		return Answer{}, ErrGone
+	}
+}
+
+// Open counts the queries and parts held.
+func (c *Core) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending
+}
+
+var outcomes = map[Outcome]aggregator.Outcome{
+	Served: aggregator.OK, Errored: aggregator.Errored, Busy: aggregator.Full,
+	NotConnected: aggregator.ConnectFailed, Reset: aggregator.Reset, Dropped: aggregator.TimedOut,
+}
+
+// Report tells how an attempt ended; only the first report of an attempt counts.
+func (c *Core) Report(a *Attempt, r Result) {
+	c.put(input{attempt: a, value: r.Value, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
+		Attempt: a.number, Replica: a.node.id, Outcome: outcomes[r.Outcome], Report: r.Load}})
+}
+
+// Probed tells how a probe ended.
+func (c *Core) Probed(n *Node, r Result) {
+	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
+		Report: r.Load}})
+}
+
+// Run is the loop: it steps about once a tick while there is something to take in, until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.notify:
+		case <-timer.C:
+		}
+		// What comes within a tick is gathered, so that parts of several queries can share a call.
+		if wait := time.Until(c.last.Add(c.set.Tick)); wait > 0 {
+			time.Sleep(wait)
+		}
+		timer.Reset(time.Until(c.Tick(time.Now())))
+	}
+}
+
+// Tick takes in what has happened, steps the module, carries out what it says, and returns when it must be
+// called again if nothing happens before. Only one goroutine may call it.
+func (c *Core) Tick(now time.Time) (next time.Time) {
+	c.last = now
+	c.mu.Lock()
+	inbox := c.inbox
+	c.inbox = nil
+	c.mu.Unlock()
+	var events []aggregator.Event
+	for i := range inbox {
+		if c.accept(&inbox[i], now) {
+			events = append(events, inbox[i].event)
+		}
+	}
+	for _, q := range c.queries {
+		if !now.Before(q.Deadline) {
+			// The module ends queries earlier; this is the backstop that no query outlives its client.
+			c.log.Error("query outlived by its deadline", "query", q.ID)
+			c.end(q, Answer{Verdict: Failed})
+			events = append(events, aggregator.Event{Kind: aggregator.ClientGone, Query: q.ID})
+		}
+	}
+	for a := range c.attempts {
+		if a.why == aggregator.Unknown && !now.Before(a.Deadline) {
+			c.drop(a, aggregator.TimedOut)
+		}
+	}
+	if len(events) == 0 && !c.wake.IsZero() && !now.Before(c.wake) {
+		events = append(events, aggregator.Event{Kind: aggregator.Woke})
+	}
+	if !c.wake.IsZero() && !now.Before(c.wake) {
+		c.wake = time.Time{}
+	}
+	if len(events) > 0 {
+		c.step(now, events)
+	}
+	next = now.Add(time.Minute)
+	if !c.wake.IsZero() && c.wake.Before(next) {
+		next = c.wake
+	}
+	for _, q := range c.queries {
+		if q.Deadline.Before(next) {
+			next = q.Deadline
+		}
+	}
+	for a := range c.attempts {
+		if a.why == aggregator.Unknown && a.Deadline.Before(next) {
+			next = a.Deadline
+		}
+	}
+	return next
+}
+
+// accept applies an input to the core's own accounts and tells whether the module is to hear of it.
+func (c *Core) accept(in *input, now time.Time) bool {
+	switch in.event.Kind {
+	case aggregator.QueryArrived:
+		if c.queries[in.ask.ID] != nil {
+			// Ids are new for each request; a second of the same would mix up the parts of both.
+			in.ask.over = true
+			c.free(in.ask)
+			in.ask.reply <- Answer{Verdict: Failed}
+			return false
+		}
+		c.queries[in.ask.ID] = in.ask
+		in.event.Left = in.ask.Deadline.Sub(now)
+	case aggregator.PartArrived:
+		if in.ask.over {
+			return false
+		}
+		for _, p := range in.ask.parts {
+			if p.id == in.event.Part {
+				c.parts[p.id] = p
+			}
+		}
+	case aggregator.ClientGone:
+		if in.ask.over {
+			return false
+		}
+		c.end(in.ask, Answer{Verdict: Failed})
+	case aggregator.AttemptEnded:
+		a := in.attempt
+		if a.over {
+			return false
+		}
+		a.over = true
+		delete(c.attempts, a)
+		a.node.hold(-1)
+		if in.event.Outcome == aggregator.TimedOut {
+			in.event.Outcome = a.why
+		}
+		if in.event.Outcome == aggregator.OK && !a.part.q.over && !a.part.in {
+			a.part.in, a.part.value = true, in.value
+		}
+		c.forget(a.part)
+	}
+	return true
+}
+
+// step calls the module and carries out its actions. A module that panics is started anew, with the list as
+// it stands; the queries that it held fail.
+func (c *Core) step(now time.Time, events []aggregator.Event) {
+	defer func() {
+		if r := recover(); r != nil {
+			c.log.Error("decision module panicked; started anew", "cause", r)
+			c.agg, _ = aggregator.New(c.set, c.seed)
+			for _, q := range c.queries {
+				c.end(q, Answer{Verdict: Failed})
+			}
+			for a := range c.attempts {
+				c.drop(a, aggregator.Cancelled)
+			}
+			c.wake = time.Time{}
+			c.put(input{event: c.list(aggregator.ListReplaced)})
+		}
+	}()
+	c.actions = c.agg.Step(c.clock(now), events, c.actions[:0])
+	round := map[*Node]*Order{}
+	orders := map[*Node][]*Order{}
+	for _, a := range c.actions {
+		switch a.Kind {
+		case aggregator.Send:
+			c.send(now, a, round, orders)
+		case aggregator.Cancel:
+			if p := c.parts[a.Part]; p != nil && a.Attempt < len(p.tries) {
+				c.drop(p.tries[a.Attempt], aggregator.Cancelled)
+			}
+		case aggregator.Answer:
+			if q := c.queries[a.Query]; q != nil {
+				answer := Answer{Verdict: Answered, Whole: a.Whole}
+				for _, p := range q.parts {
+					if p.in {
+						answer.Hits = append(answer.Hits, Hit{Shard: p.shard, Value: p.value})
+					}
+				}
+				c.end(q, answer)
+			}
+		case aggregator.Refuse:
+			if q := c.queries[a.Query]; q != nil {
+				c.end(q, Answer{Verdict: Refused, After: a.After})
+			}
+		case aggregator.Fail:
+			if q := c.queries[a.Query]; q != nil {
+				c.end(q, Answer{Verdict: Failed})
+			}
+		case aggregator.Probe, aggregator.CloseIdle:
+			if n := c.node(a.Replica); n != nil {
+				orders[n] = append(orders[n], &Order{Probe: a.Kind == aggregator.Probe,
+					CloseIdle: a.Kind == aggregator.CloseIdle})
+			} else if a.Kind == aggregator.Probe {
+				c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: a.Replica,
+					Outcome: aggregator.ConnectFailed}})
+			}
+		case aggregator.Wake:
+			c.wake = now.Add(a.After)
+		}
+	}
+	for n, list := range orders {
+		n.post(list...)
+	}
+}
+
+// send books an attempt into the call that this round makes to its replica, or into a new one.
+func (c *Core) send(now time.Time, act aggregator.Action, round map[*Node]*Order, orders map[*Node][]*Order) {
+	p, n := c.parts[act.Part], c.node(act.Replica)
+	if p == nil {
+		return
+	}
+	a := &Attempt{ID: p.id, Shard: p.shard, Text: p.q.Text, Deadline: now.Add(act.After), number: len(p.tries),
+		part: p, node: n}
+	if act.After <= 0 || a.Deadline.After(p.q.Deadline) {
+		a.Deadline = p.q.Deadline
+	}
+	p.tries = append(p.tries, a)
+	c.attempts[a] = true
+	if n != nil {
+		n.hold(1)
+	} else {
+		a.node = &Node{id: act.Replica, c: c, ready: make(chan struct{}, 1)}
+		a.node.hold(1)
+		c.Report(a, Result{Outcome: NotConnected})
+		return
+	}
+	o := round[n]
+	if o == nil || len(o.Call) >= max(1, c.set.Limits.Bundle) {
+		o = &Order{}
+		round[n] = o
+		orders[n] = append(orders[n], o)
+	}
+	o.Call = append(o.Call, a)
+}
+
+// drop orders that an attempt be given up; its end is reported once the data node was told.
+func (c *Core) drop(a *Attempt, why aggregator.Outcome) {
+	if a.over || a.why != aggregator.Unknown {
+		return
+	}
+	a.why = why
+	a.node.post(&Order{Drop: a})
+}
+
+// end gives a query its one final answer and forgets it. Attempts that are still out are the module's to
+// cancel.
+func (c *Core) end(q *query, answer Answer) {
+	if q.over {
+		return
+	}
+	q.over = true
+	delete(c.queries, q.ID)
+	q.reply <- answer
+	c.free(q)
+	for _, p := range q.parts {
+		c.forget(p)
+	}
+}
+
+// forget lets go of a part once its query is over and nothing of it is out.
+func (c *Core) forget(p *part) {
+	if p.q.over && !slices.ContainsFunc(p.tries, func(a *Attempt) bool { return !a.over }) {
+		delete(c.parts, p.id)
+	}
+}
+
+// free takes a query off the count of what is held.
+func (c *Core) free(q *query) {
+	c.mu.Lock()
+	c.pending -= 1 + len(q.parts)
+	c.mu.Unlock()
+}
--- /dev/null
+++ b/internal/platform/discovery.go
@@ -0,0 +1,210 @@
+package platform
+
+// This file owns the watch on discovery: one connection, opened anew after the last version seen whenever it
+// ends. It must never hold back a change, nor let a list or an entry that can't be read end the process.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"sorrelplank.example/sorrelplank/internal/core"
+)
+
+// Discovery says an empty line every 2 s while nothing changes; a watch that is silent for longer than quiet
+// is opened anew, after pause.
+const (
+	quiet = 5 * time.Second
+	pause = 200 * time.Millisecond
+)
+
+// Watch follows the list of data nodes. Its fields are set before Run.
+type Watch struct {
+	Fleet *core.Fleet
+	Log   *slog.Logger
+	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+	Addr  string
+
+	version int64
+	listed  bool
+}
+
+// page is one message of discovery.
+type page struct {
+	Version int64
+	Full    bool
+	Servers []json.RawMessage
+}
+
+type entry struct {
+	ID, Addr, Zone, State string
+	Cell                  int
+	Weight                float64
+	Started               float64 `json:"started_ms"`
+}
+
+var states = map[string]core.State{"SERVING": core.Serving, "DRAINING": core.Draining, "DELETED": core.Gone}
+
+// members reads the entries of a page. One that can't be read is skipped; a state that is not known reads as
+// draining, so that nothing new is sent.
+func (w *Watch) members(p page) (list []core.Member) {
+	for _, raw := range p.Servers {
+		e := entry{Weight: 1}
+		if err := json.Unmarshal(raw, &e); err != nil || e.ID == "" {
+			w.Log.Warn("entry of the list not understood", "entry", string(raw), "cause", err)
+			continue
+		}
+		m := core.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, State: core.Draining}
+		if state, known := states[e.State]; known {
+			m.State = state
+		} else {
+			w.Log.Warn("state not known; taken as draining", "node", e.ID, "state", e.State)
+		}
+		if e.Started > 0 {
+			m.Started = time.UnixMilli(int64(e.Started))
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// Remember starts from a list as it was last held.
+func (w *Watch) Remember(known []byte) {
+	var p page
+	if err := json.Unmarshal(known, &p); err != nil {
+		w.Log.Warn("remembered list not understood", "cause", err)
+		return
+	}
+	w.version, w.listed = p.Version, true
+	w.Fleet.Replace(w.members(p), true)
+}
+
+// Run watches until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := w.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.Log.Warn("watch on discovery ended; opening it anew", "version", w.version, "cause", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// follow opens one watch and applies what it brings.
+func (w *Watch) follow(ctx context.Context) error {
+	dialing, cancel := context.WithDeadline(ctx, time.Now().Add(quiet))
+	nc, err := w.Dial(dialing, w.Addr)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	nc.SetDeadline(time.Now().Add(quiet))
+	target := "/discovery/hosts?watch=1"
+	if w.listed {
+		target += "&after=" + strconv.FormatInt(w.version, 10)
+	}
+	if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, w.Addr); err != nil {
+		return err
+	}
+	in := textproto.NewReader(bufio.NewReader(nc))
+	status, err := in.ReadLine()
+	if err != nil {
+		return err
+	}
+	if words := strings.Fields(status); len(words) < 2 || words[1] != "200" {
+		return fmt.Errorf("discovery answered %.100q", status)
+	}
+	header, err := in.ReadMIMEHeader()
+	if err != nil {
+		return err
+	}
+	var body io.Reader = in.R
+	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
+		body = &chunks{in: in}
+	}
+	lines := bufio.NewReader(body)
+	for {
+		nc.SetReadDeadline(time.Now().Add(quiet))
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return err
+		}
+		if len(strings.TrimSpace(string(line))) == 0 {
+			continue
+		}
+		var p page
+		if err := json.Unmarshal(line, &p); err != nil {
+			return fmt.Errorf("list not understood: %w", err)
+		}
+		if p.Full {
+			w.Fleet.Replace(w.members(p), false)
+		} else {
+			w.Fleet.Change(w.members(p))
+		}
+		w.version, w.listed = p.Version, true
+	}
+}
+
+// chunks reads a chunked body; its end is io.EOF.
+type chunks struct {
+	in   *textproto.Reader
+	left int64
+	open bool // within a chunk, whose line end is still to come
+	done bool
+}
+
+func (c *chunks) Read(p []byte) (int, error) {
+	if c.done {
+		return 0, io.EOF
+	}
+	if c.left == 0 {
+		if c.open {
+			if line, err := c.in.ReadLine(); err != nil || line != "" {
+				return 0, fmt.Errorf("chunk without its end: %w", unexpected(err))
+			}
+		}
+		line, err := c.in.ReadLine()
+		if err != nil {
+			return 0, unexpected(err)
+		}
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil {
+			return 0, fmt.Errorf("size of a chunk: %.40q", line)
+		}
+		if c.left, c.open = int64(n), true; n == 0 {
+			for line != "" { // trailers
+				if line, err = c.in.ReadLine(); err != nil {
+					return 0, unexpected(err)
+				}
+			}
+			c.done = true
+			return 0, io.EOF
+		}
+	}
+	n, err := c.in.R.Read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
+	return n, unexpected(err)
+}
+
+// unexpected is the error of a body that ends too early.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -6,10 +6,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math"
 	"time"
 
 	"sorrelplank.example/sorrelplank/aggregator"
+	"sorrelplank.example/sorrelplank/internal/config"
 )
 
 // batch is one line of input.
@@ -62,7 +62,9 @@
 
 func (f *fields) integer(i int, field string) int { return int(f.number(i, field)) }
 
-func (f *fields) seconds(i int, field string) time.Duration { return duration(f.number(i, field)) }
+func (f *fields) seconds(i int, field string) time.Duration {
+	return config.Duration(f.number(i, field))
+}
 
 // report reads a load report, an object of numbers; what is missing or of another form is no report.
 func (f *fields) report(i int) map[string]float64 {
@@ -73,12 +75,6 @@
 	return report
 }
 
-// duration turns seconds into a Duration, rounded to the wire's microseconds.
-func duration(s float64) time.Duration {
-	us := math.Round(s * 1e6)
-	return time.Duration(math.Max(-9e15, math.Min(9e15, us*1e3)))
-}
-
 func seconds(d time.Duration) float64 { return float64(d/time.Microsecond) / 1e6 }
 
 var outcomes = map[string]aggregator.Outcome{
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sorrelplank.example/sorrelplank/aggregator"
+	"sorrelplank.example/sorrelplank/internal/config"
 )
 
 // Host holds the instances of one process. They share the numbered lists of the wire and nothing else.
@@ -90,7 +91,7 @@
 			turn = append(turn, in)
 		}
 	}
-	now := duration(*b.TimeS)
+	now := config.Duration(*b.TimeS)
 	for _, in := range turn {
 		in.queued = false
 		if h.instances[in.node] == in {
@@ -145,7 +146,7 @@
 	if f.err != nil {
 		return nil, f.err
 	}
-	set, err := settings(raw)
+	set, err := config.Settings(raw)
 	if err != nil {
 		return nil, fmt.Errorf("CONFIGURE: %w", err)
 	}
