--- a/aggregator/example_test.go
+++ b/aggregator/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sorrelplank.example/sorrelplank/aggregator"
+	"gullfall/aggregator"
 )
 
 // A front node passes what has happened to Step and carries out the actions it gets back.
--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -14,9 +14,9 @@
 	"syscall"
 	"time"
 
-	"sorrelplank.example/sorrelplank/internal/config"
-	"sorrelplank.example/sorrelplank/internal/core"
-	"sorrelplank.example/sorrelplank/internal/platform"
+	"gullfall/internal/config"
+	"gullfall/internal/core"
+	"gullfall/internal/platform"
 )
 
 // After SIGTERM clients keep coming for a while: idle connections are closed after restUntil, the listener
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"sorrelplank.example/sorrelplank/internal/simwire"
+	"gullfall/internal/simwire"
 )
 
 func main() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,7 @@
 	"os"
 	"strconv"
 
-	"sorrelplank.example/sorrelplank/aggregator"
+	"gullfall/aggregator"
 )
 
 // Limits is what one copy of the program may use.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"sorrelplank.example/sorrelplank/aggregator"
+	"gullfall/aggregator"
 )
 
 // wireSettings mirrors the settings object of the wire; keys it does not name are skipped.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"sorrelplank.example/sorrelplank/aggregator"
+	"gullfall/aggregator"
 )
 
 // ErrInput marks a query that never reached the module: what was asked can't be understood.
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"sorrelplank.example/sorrelplank/aggregator"
+	"gullfall/aggregator"
 )
 
 // Carry serves one data node: it picks up orders until Pick says that there will be none.
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -20,7 +20,7 @@
 	"sync"
 	"time"
 
-	"sorrelplank.example/sorrelplank/internal/core"
+	"gullfall/internal/core"
 )
 
 const (
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -16,7 +16,7 @@
 	"strings"
 	"time"
 
-	"sorrelplank.example/sorrelplank/internal/core"
+	"gullfall/internal/core"
 )
 
 // Discovery says an empty line every 2 s while nothing changes; a watch that is silent for longer than quiet
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -19,7 +19,7 @@
 	"sync"
 	"time"
 
-	"sorrelplank.example/sorrelplank/internal/core"
+	"gullfall/internal/core"
 )
 
 // maxFrame is the longest frame that a data node may send.
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"time"
 
-	"sorrelplank.example/sorrelplank/aggregator"
-	"sorrelplank.example/sorrelplank/internal/config"
+	"gullfall/aggregator"
+	"gullfall/internal/config"
 )
 
 // batch is one line of input.
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -7,8 +7,8 @@
 	"io"
 	"time"
 
-	"sorrelplank.example/sorrelplank/aggregator"
-	"sorrelplank.example/sorrelplank/internal/config"
+	"gullfall/aggregator"
+	"gullfall/internal/config"
 )
 
 // Host holds the instances of one process. They share the numbered lists of the wire and nothing else.
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"sorrelplank.example/sorrelplank/aggregator"
+	"gullfall/aggregator"
 )
 
 const configure = `["CONFIGURE",3,12345678901234567890,{"Az":"z1","Balancers":2,"TickS":0.005,` +
