Mark answers whole though weights are rounded on the wire

Checked: a log line for each answer not marked whole showed all 12 of 12 parts in, with weights of 0.083333: six decimals, 0.999996 together. Ruled out lost parts and time (p50 254 ms). All three now share one constant.

--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -50,6 +50,7 @@
 	roomShare    = 0.8   // share of the open queries and parts above which only worthy queries enter
 	reserveShare = 0.2   // share of the class's deadline that is kept back for a standstill of this node
 	stallAims    = 8.0   // longest aims for which a standstill is expected again
+	rounding     = 5e-5  // by which all weights may fall short of 1: half of what the rules allow
 	askShares    = 0.06  // share of the rule's time between list calls over which the first one is spread
 )
 
@@ -457,7 +458,7 @@
 		return next
 	case !q.admitted && !a.admit(q):
 		a.giveUp(q)
-	case open == 0 || q.step == 0 && got >= a.set.Classes[q.class].Need-1e-6:
+	case open == 0 || q.step == 0 && got >= a.set.Classes[q.class].Need-rounding:
 		a.settle(q)
 	case a.now >= early && a.partialPays(q, got), a.now >= late && a.useful(q) == q.aim:
 		a.settle(q)
@@ -523,9 +524,9 @@
 func (a *Aggregator) least(q *query) float64 {
 	c := &a.set.Classes[q.class]
 	if q.step > 0 && c.Floor >= c.Need {
-		return 1 - 5e-5
+		return 1 - rounding
 	}
-	return min(c.Need, c.Floor) - 5e-5
+	return min(c.Need, c.Floor) - rounding
 }
 
 // scouts is how many parts of a query may go out now. A query that breaks what runs it shows nothing before,
@@ -570,7 +571,7 @@
 func (a *Aggregator) settle(q *query) {
 	c := &a.set.Classes[q.class]
 	got, _, missing := q.weights()
-	whole := got >= c.Need-1e-6
+	whole := got >= c.Need-rounding
 	if q.step > 0 {
 		whole = missing == 0 && q.whole
 	}
--- a/aggregator/rules_test.go
+++ b/aggregator/rules_test.go
@@ -439,3 +439,27 @@
 		t.Errorf("seed %d: %d queries, %d parts held", seed, len(b.agg.queries), len(b.agg.parts))
 	}
 }
+
+// TestRoundedWeights: a wire that carries weights of six decimals makes twelve parts weigh 0.999996 together;
+// the answer from all of them is whole, and one from eleven is not.
+func TestRoundedWeights(t *testing.T) {
+	set := testSettings()
+	set.Shards = 12
+	set.Classes[0].Floor, set.Classes[0].Partial = 0.5, 0.9
+	for _, missing := range []int{0, 1} {
+		b := newBench(t, set, members("a", "b", "c")...)
+		events := asks("q", 900*ms, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
+		for i := range events {
+			events[i].Weight = 0.083333
+		}
+		b.step(events...)
+		var in []Event
+		for i := range 12 - missing {
+			in = append(in, ended(fmt.Sprintf("q/%d", i), 0, OK))
+		}
+		answers := only(append(b.step(in...), b.after(900*ms)...), Answer)
+		if len(answers) != 1 || answers[0].Whole != (missing == 0) {
+			t.Errorf("%d parts missing: got %+v", missing, answers)
+		}
+	}
+}
