--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,10 +62,10 @@
 	After   time.Duration // Refused: when to come back; 0 for no advice
 }
 
-// Hit is the value of one part, as a data node gave it.
+// Hit is the value of one part, as a data node gave it: its documents.
 type Hit struct {
 	Shard int
-	Value []byte
+	Docs  [][]byte
 }
 
 // Outcome is how an attempt or a probe ended.
@@ -84,7 +84,7 @@
 // Result goes with a Report.
 type Result struct {
 	Outcome Outcome
-	Value   []byte
+	Docs    [][]byte
 	Load    map[string]float64
 }
 
@@ -106,6 +106,7 @@
 type Order struct {
 	Call      []*Attempt // to be sent as one call
 	Drop      *Attempt   // to be given up at the data node, then reported as Dropped
+	Barred    bool       // what is not begun is to be turned back, as Busy
 	Probe     bool       // to be answered by Probed
 	CloseIdle bool       // idle connections are to be closed
 }
@@ -140,7 +141,7 @@
 	id    string
 	q     *query
 	shard int
-	value []byte
+	docs  [][]byte
 	in    bool
 	tries []*Attempt
 }
@@ -149,7 +150,7 @@
 type input struct {
 	event   aggregator.Event
 	attempt *Attempt
-	value   []byte
+	docs    [][]byte
 	ask     *query
 }
 
@@ -300,7 +301,7 @@
 
 // Report tells how an attempt ended; only the first report of an attempt counts.
 func (c *Core) Report(a *Attempt, r Result) {
-	c.put(input{attempt: a, value: r.Value, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
+	c.put(input{attempt: a, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
 		Attempt: a.number, Replica: a.node.id, Outcome: outcomes[r.Outcome], Report: r.Load}})
 }
 
@@ -417,11 +418,11 @@
 		a.over = true
 		delete(c.attempts, a)
 		a.node.hold(-1)
-		if in.event.Outcome == aggregator.TimedOut {
+		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
 			in.event.Outcome = a.why
 		}
 		if in.event.Outcome == aggregator.OK && !a.part.q.over && !a.part.in {
-			a.part.in, a.part.value = true, in.value
+			a.part.in, a.part.docs = true, in.docs
 		}
 		c.forget(a.part)
 	}
@@ -461,7 +462,7 @@
 				answer := Answer{Verdict: Answered, Whole: a.Whole}
 				for _, p := range q.parts {
 					if p.in {
-						answer.Hits = append(answer.Hits, Hit{Shard: p.shard, Value: p.value})
+						answer.Hits = append(answer.Hits, Hit{Shard: p.shard, Docs: p.docs})
 					}
 				}
 				c.end(q, answer)
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -152,7 +152,10 @@
 		go f.carry(n)
 	}
 	n.member = m
-	n.barred.Store(m.State != Serving)
+	if bar := m.State != Serving; n.barred.Swap(bar) != bar && bar {
+		n.orders = append(n.orders, &Order{Barred: true})
+		n.signal()
+	}
 	if m.State == Gone {
 		delete(f.nodes, m.ID)
 		delete(f.c.nodes, m.ID)
--- /dev/null
+++ b/internal/flight/nodes.go
@@ -0,0 +1,371 @@
+package flight
+
+// This file owns the channels to Flight data nodes and the streams on them: one stream for each part, so that
+// each can be given up by itself. A part is in only once its stream has ended well. It must never send a part
+// twice (retries by the library are off), begin one at a data node that the list bars, or use what came
+// before a cut.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"gullfall/internal/core"
+)
+
+// maxPart bounds the documents of one part.
+const maxPart = 1 << 20
+
+// PartTicket is what a data node is asked with.
+type PartTicket struct {
+	ID    string `json:"id"`
+	Shard int    `json:"shard"`
+	Q     string `json:"q"`
+}
+
+// LoadAction is the type of the action by which a data node is probed; its result is a load report.
+const LoadAction = "load"
+
+// Nodes carries orders to Flight data nodes. Its fields are set before its first use.
+type Nodes struct {
+	Core    *core.Core
+	Log     *slog.Logger
+	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Streams int           // parts that are out at one data node at once
+	Connect time.Duration // within which a channel comes up and a probe is answered
+	Slots   chan struct{} // one for each channel that may be open
+}
+
+// peer is one data node.
+type peer struct {
+	*Nodes
+	node  *core.Node
+	turns chan struct{} // one for each stream
+
+	mu    sync.Mutex
+	ch    *channel // the one in use; nil where there is none
+	calls map[*core.Attempt]*call
+}
+
+// channel is one connection; it is closed once it is out of use and nothing is out on it.
+type channel struct {
+	cc      *grpc.ClientConn
+	client  flight.Client
+	out     int
+	retired bool
+	heard   time.Time
+}
+
+type call struct {
+	cancel  context.CancelFunc
+	ch      *channel
+	begun   time.Time // zero until the data node may know of it
+	dropped bool
+	barred  bool
+}
+
+// Carry serves one data node until it has left the list.
+func (ns *Nodes) Carry(n *core.Node) {
+	p := &peer{Nodes: ns, node: n, turns: make(chan struct{}, max(1, ns.Streams)), calls: map[*core.Attempt]*call{}}
+	for {
+		o := n.Pick(context.Background())
+		switch {
+		case o == nil:
+			p.retire(nil)
+			return
+		case o.Call != nil:
+			for _, a := range o.Call {
+				ctx, cancel := context.WithDeadline(context.Background(), a.Deadline)
+				c := &call{cancel: cancel}
+				p.mu.Lock()
+				p.calls[a] = c
+				p.mu.Unlock()
+				go p.fetch(ctx, c, a)
+			}
+		case o.Drop != nil:
+			p.drop(o.Drop)
+		case o.Barred:
+			p.bar()
+		case o.Probe:
+			go p.probe()
+		case o.CloseIdle:
+			p.retire(func(ch *channel) bool { return ch.out == 0 })
+		}
+	}
+}
+
+// drop gives up an attempt; its end is reported by fetch, after the stream was cancelled. A channel on which
+// nothing was heard since the attempt began may be dead, and is not used for the next.
+func (p *peer) drop(a *core.Attempt) {
+	p.mu.Lock()
+	c := p.calls[a]
+	if c != nil {
+		c.dropped = true
+		c.cancel()
+	}
+	p.mu.Unlock()
+	if c != nil && c.ch != nil {
+		p.retire(func(ch *channel) bool { return ch == c.ch && !c.begun.IsZero() && ch.heard.Before(c.begun) })
+	}
+}
+
+// bar turns back what is not begun.
+func (p *peer) bar() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.calls {
+		if c.begun.IsZero() {
+			c.barred = true
+			c.cancel()
+		}
+	}
+}
+
+// retire takes the channel in use out of use, where it meets the condition.
+func (p *peer) retire(condition func(*channel) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ch != nil && (condition == nil || condition(p.ch)) {
+		ch := p.ch
+		p.ch, ch.retired = nil, true
+		p.release(ch, 0)
+	}
+}
+
+// release counts streams off a channel and closes it after the last if it is out of use. The caller holds the
+// lock.
+func (p *peer) release(ch *channel, n int) {
+	if ch.out -= n; ch.out == 0 && ch.retired {
+		ch.cc.Close()
+		<-p.Slots
+	}
+}
+
+var errSlots = errors.New("no descriptor left for a connection")
+
+// acquire returns the channel in use, opening one where there is none, and waits until it is up.
+func (p *peer) acquire(ctx context.Context) (*channel, error) {
+	end := time.Now().Add(p.Connect)
+	p.mu.Lock()
+	if p.ch == nil {
+		select {
+		case p.Slots <- struct{}{}:
+		default:
+			p.mu.Unlock()
+			return nil, errSlots
+		}
+		cc, err := grpc.NewClient("passthrough:///"+p.node.Addr(), grpc.WithDisableRetry(),
+			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(p.Dial),
+			grpc.WithNoProxy(), grpc.WithDisableServiceConfig())
+		if err != nil {
+			<-p.Slots
+			p.mu.Unlock()
+			return nil, err
+		}
+		p.ch = &channel{cc: cc, client: flight.NewClientFromConn(cc, nil)}
+	}
+	ch := p.ch
+	ch.out++
+	p.mu.Unlock()
+	up, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	for {
+		state := ch.cc.GetState()
+		switch state {
+		case connectivity.Ready:
+			return ch, nil
+		case connectivity.Idle:
+			ch.cc.Connect()
+		}
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown || !ch.cc.WaitForStateChange(up, state) {
+			p.retire(func(o *channel) bool { return o == ch })
+			p.mu.Lock()
+			p.release(ch, 1)
+			p.mu.Unlock()
+			return nil, fmt.Errorf("channel is %v", state)
+		}
+	}
+}
+
+// fetch runs one attempt and reports its end.
+func (p *peer) fetch(ctx context.Context, c *call, a *core.Attempt) {
+	defer c.cancel()
+	var r core.Result
+	select {
+	case p.turns <- struct{}{}:
+		r = p.get(ctx, c, a)
+		<-p.turns
+	case <-ctx.Done():
+		r.Outcome = core.Dropped
+	}
+	p.mu.Lock()
+	delete(p.calls, a)
+	if c.barred && r.Outcome != core.Served {
+		r.Outcome = core.Busy
+	} else if c.dropped && r.Outcome != core.Served {
+		r.Outcome = core.Dropped
+	}
+	p.mu.Unlock()
+	p.Core.Report(a, r)
+}
+
+// get asks for one part and reads its stream to the end.
+func (p *peer) get(ctx context.Context, c *call, a *core.Attempt) (r core.Result) {
+	ch, err := p.acquire(ctx)
+	if err != nil {
+		p.Log.Info("no channel to data node", "node", p.node.ID(), "cause", err)
+		return core.Result{Outcome: core.NotConnected}
+	}
+	p.mu.Lock()
+	barred := p.node.Barred()
+	if c.ch = ch; !barred {
+		c.begun = time.Now()
+	}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		p.release(ch, 1)
+		p.mu.Unlock()
+		if cause := recover(); cause != nil {
+			p.Log.Error("stream of data node not understood", "node", p.node.ID(), "cause", cause)
+			r = core.Result{Outcome: core.Errored}
+		}
+	}()
+	if barred {
+		return core.Result{Outcome: core.Busy}
+	}
+	ticket, _ := json.Marshal(PartTicket{ID: a.ID, Shard: a.Shard, Q: a.Text})
+	stream, err := ch.client.DoGet(ctx, &flight.Ticket{Ticket: ticket})
+	if err == nil {
+		r, err = p.read(ch, stream, a.Shard)
+	}
+	if err != nil {
+		r = core.Result{Outcome: outcome(ctx, err)}
+		p.Log.Info("part ended without its value", "node", p.node.ID(), "part", a.ID, "cause", err)
+	}
+	return r
+}
+
+// errStream marks a stream that ended well but can't be used.
+var errStream = errors.New("stream not understood")
+
+// read takes in the documents of one part; load reports ride on the batches' metadata.
+func (p *peer) read(ch *channel, stream flight.FlightService_DoGetClient, shard int) (core.Result, error) {
+	in, err := flight.NewRecordReader(stream)
+	if err != nil {
+		if err == io.EOF {
+			err = errStream
+		}
+		return core.Result{}, err
+	}
+	defer in.Release()
+	r := core.Result{Outcome: core.Served}
+	size := 0
+	for in.Next() {
+		p.mu.Lock()
+		ch.heard = time.Now()
+		p.mu.Unlock()
+		shards, docs, err := columns(in.RecordBatch())
+		if err != nil {
+			return core.Result{}, err
+		}
+		for i := range docs.Len() {
+			if int(shards.Value(i)) != shard {
+				return core.Result{}, fmt.Errorf("%w: document of shard %d", errStream, shards.Value(i))
+			}
+			if size += len(docs.Value(i)); size > maxPart {
+				return core.Result{}, fmt.Errorf("%w: over %d bytes", errStream, maxPart)
+			}
+			r.Docs = append(r.Docs, append([]byte(nil), docs.Value(i)...))
+		}
+		var meta struct{ Load map[string]float64 }
+		if json.Unmarshal(in.LatestAppMetadata(), &meta) == nil && meta.Load != nil {
+			r.Load = meta.Load
+		}
+	}
+	if err := in.Err(); err != nil && err != io.EOF {
+		return core.Result{}, err
+	}
+	if len(r.Docs) == 0 {
+		return core.Result{}, fmt.Errorf("%w: no document", errStream)
+	}
+	return r, nil
+}
+
+// columns finds the shard and doc columns of a batch.
+func columns(rec arrow.RecordBatch) (shards *array.Int32, docs *array.Binary, err error) {
+	if rec.NumCols() == 2 && rec.Schema().Equal(Schema) {
+		shards, _ = rec.Column(0).(*array.Int32)
+		docs, _ = rec.Column(1).(*array.Binary)
+	}
+	if shards == nil || docs == nil || shards.NullN()+docs.NullN() > 0 {
+		return nil, nil, fmt.Errorf("%w: schema %v", errStream, rec.Schema())
+	}
+	return shards, docs, nil
+}
+
+// outcome is what a failed stream says of its attempt.
+func outcome(ctx context.Context, err error) core.Outcome {
+	st, _ := status.FromError(err)
+	switch {
+	case ctx.Err() != nil:
+		return core.Dropped
+	case errors.Is(err, errStream):
+		return core.Errored
+	case st.Code() == codes.ResourceExhausted:
+		return core.Busy
+	case st.Code() == codes.Unavailable:
+		for _, d := range st.Details() {
+			if _, turnedAway := d.(*errdetails.RetryInfo); turnedAway {
+				return core.Busy
+			}
+		}
+		return core.Reset
+	}
+	return core.Errored
+}
+
+// probe asks for the load report.
+func (p *peer) probe() {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(p.Connect))
+	defer cancel()
+	ch, err := p.acquire(ctx)
+	if err != nil {
+		p.Core.Probed(p.node, core.Result{Outcome: core.NotConnected})
+		return
+	}
+	r := core.Result{Outcome: core.Served}
+	stream, err := ch.client.DoAction(ctx, &flight.Action{Type: LoadAction})
+	if err == nil {
+		var res *flight.Result
+		if res, err = stream.Recv(); err == nil {
+			json.Unmarshal(res.GetBody(), &r.Load)
+		}
+	}
+	if err != nil {
+		r = core.Result{Outcome: outcome(ctx, err)}
+	}
+	p.mu.Lock()
+	if err == nil {
+		ch.heard = time.Now()
+	}
+	p.release(ch, 1)
+	p.mu.Unlock()
+	p.Core.Probed(p.node, r)
+}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -20,11 +20,12 @@
 	"sync"
 	"time"
 
+	"gullfall/internal/ask"
 	"gullfall/internal/core"
 )
 
 const (
-	maxBody   = 64 << 10
+	maxBody   = ask.MaxBytes
 	maxHeader = 16 << 10
 	// Clients keep connections open; one without a request for restTime, or with a request that takes longer
 	// than readTime to arrive, is closed.
@@ -304,29 +305,10 @@
 	if err != nil || ms <= 0 || ms > int64(math.MaxInt32) {
 		return core.Query{}, bad(400, "Req-Deadline-Ms %.40q", h.Get("Req-Deadline-Ms"))
 	}
-	var body struct {
-		Shards []struct {
-			Shard  *int
-			Weight float64
-			Cost   float64
-			Key    string
-		}
-		Q string
-	}
-	if err := json.Unmarshal(req.body, &body); err != nil {
-		return core.Query{}, bad(400, "body: %v", err)
-	}
 	q := core.Query{ID: h.Get("Req-Id"), Class: class, Owner: h.Get("Req-Owner"), Retry: h.Get("Req-Retry") == "1",
-		Deadline: now.Add(time.Duration(ms) * time.Millisecond), Text: body.Q}
-	for _, s := range body.Shards {
-		if s.Shard == nil {
-			return q, bad(400, "body: a part without its shard")
-		}
-		if !(math.Abs(s.Cost) < math.MaxInt32) {
-			return q, bad(400, "body: cost of shard %d", *s.Shard)
-		}
-		q.Parts = append(q.Parts, core.Part{Shard: *s.Shard, Weight: s.Weight, Key: s.Key,
-			Work: time.Duration(s.Cost * float64(time.Microsecond))})
+		Deadline: now.Add(time.Duration(ms) * time.Millisecond)}
+	if q.Parts, q.Text, err = ask.Parts(req.body); err != nil {
+		return q, bad(400, "%v", err)
 	}
 	return q, nil
 }
@@ -341,7 +323,9 @@
 		Hits     []hit `json:"hits"`
 	}{a.Whole, []hit{}}
 	for _, h := range a.Hits {
-		body.Hits = append(body.Hits, hit{h.Shard, string(h.Value)})
+		for _, doc := range h.Docs {
+			body.Hits = append(body.Hits, hit{h.Shard, string(doc)})
+		}
 	}
 	data, _ := json.Marshal(body)
 	return data
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -92,6 +92,8 @@
 			l.call(o.Call)
 		case o.Drop != nil:
 			l.drop(o.Drop)
+		case o.Barred:
+			l.bar()
 		case o.Probe:
 			l.probe()
 		case o.CloseIdle:
@@ -171,6 +173,20 @@
 	}
 }
 
+// bar turns back what is not begun.
+func (l *link) bar() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		for id, s := range c.out {
+			if s.at.IsZero() {
+				delete(c.out, id)
+				l.Core.Report(s.Attempt, core.Result{Outcome: core.Busy})
+			}
+		}
+	}
+}
+
 func (l *link) probe() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -463,7 +479,7 @@
 	if !found || len(words) < 2 || ends[words[1]] == 0 {
 		return fmt.Errorf("answer not understood: %.200q", line)
 	}
-	r := core.Result{Outcome: ends[words[1]], Value: value}
+	r := core.Result{Outcome: ends[words[1]], Docs: [][]byte{value}}
 	if len(words) > 3 {
 		r.Load = load(strings.Join(words[3:], " "))
 	}
