Add the store, DNS-SD records, the deploy file, and scenarios in virtual time

The scenarios (send, expect, close, wait) run the platform's network code on net.Pipe under testing/synctest. Found by them: a connection that went idle while its writer slept until the idle limit counted from the frame it had written was closed only at the limit itself, when the peer may close it too (nodes.go, conn.write). The writer now wakes at the early end and looks again.

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -7,25 +7,33 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
 	"gullfall/internal/config"
 	"gullfall/internal/core"
+	"gullfall/internal/dnssd"
+	"gullfall/internal/flight"
 	"gullfall/internal/platform"
+	"gullfall/internal/store"
 )
 
-// After SIGTERM clients keep coming for a while: idle connections are closed after restUntil, the listener
+// After SIGTERM clients keep coming for a while: idle connections are closed after restUntil, the listeners
 // after listenUntil.
 const (
 	restUntil   = 500 * time.Millisecond
 	listenUntil = 900 * time.Millisecond
 )
 
+// flightService is the type of our own Flight service.
+const flightService = "_gullfall._tcp"
+
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	if err := run(log); err != nil {
@@ -34,13 +42,41 @@
 	}
 }
 
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 func run(log *slog.Logger) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
+	deploy, err := config.LoadDeploy(config.DeployFile, cfg.Name)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 2)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+
+	kept, err := store.Open(deploy.Store, cfg.Name, log)
+	if err != nil {
+		return err
+	}
+	defer kept.Close()
+	if len(cfg.Raw) == 0 {
+		cfg.Raw = kept.Get(store.Settings)
+	}
+	if len(cfg.Known) == 0 {
+		cfg.Known = kept.Get(store.Members)
+	}
+	if err := cfg.Adopt(cfg.Raw); err != nil {
+		return err
+	}
+	kept.Put(store.Settings, cfg.Raw)
+
 	c, err := core.New(cfg.Settings, cfg.Seed, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -49,14 +85,12 @@
 	defer stop()
 	go c.Run(ctx)
 
-	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr)
-	}
-	nodes := &platform.Nodes{Core: c, Log: log, Dial: dial, Streams: cfg.Streams,
-		Connect: cfg.Settings.Limits.ConnectTimeout, Idle: cfg.Settings.Limits.ConnIdle,
-		Slots: make(chan struct{}, cfg.Limits.Sockets/4)}
-	watch := &platform.Watch{Fleet: c.Fleet(nodes.Carry), Log: log, Dial: dial, Addr: cfg.Discovery}
+	limits := cfg.Settings.Limits
+	slots := make(chan struct{}, cfg.Limits.Sockets/4) // connections to data nodes of both kinds
+	nodes := &platform.Nodes{Core: c, Log: log, Dial: dial, Streams: cfg.Streams, Connect: limits.ConnectTimeout,
+		Idle: limits.ConnIdle, Slots: slots}
+	watch := &platform.Watch{Fleet: c.Fleet(nodes.Carry), Log: log, Dial: dial, Addr: cfg.Discovery,
+		Keep: func(list []byte) { kept.Put(store.Members, list) }}
 	if len(cfg.Known) > 0 {
 		watch.Remember(cfg.Known)
 	}
@@ -67,25 +101,74 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	clients := &platform.Clients{Core: c, Log: log, Slots: make(chan struct{}, cfg.Limits.Sockets/2)}
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 	go func() { served <- clients.Serve(ln) }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	var second *flight.Server
+	if deploy.Flight.Listen != "" {
+		if second, err = startFlight(ctx, deploy, cfg, c, log, slots, served); err != nil {
+			return err
+		}
+	}
 	select {
 	case err := <-served:
 		return err
 	case s := <-signals:
 		log.Info("draining", "signal", s)
 	}
+	return drain(c, clients, second, ln, signals, log)
+}
+
+// startFlight starts the second front, and browses for its data nodes where a resolver is named.
+func startFlight(ctx context.Context, deploy config.Deploy, cfg config.Config, c *core.Core, log *slog.Logger,
+	slots chan struct{}, served chan<- error) (*flight.Server, error) {
+	ln, err := net.Listen("tcp", deploy.Flight.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("flight.listen: %w", err)
+	}
+	server := flight.NewServer(c, log)
+	go func() { served <- server.Serve(ln, min(deploy.Flight.Connections, cfg.Limits.Sockets/8)) }()
+	log.Info("serving Arrow Flight", "listen", deploy.Flight.Listen)
+	d := deploy.DNSSD
+	if d.Resolver != "" {
+		nodes := &flight.Nodes{Core: c, Log: log, Dial: dial, Streams: cfg.Streams,
+			Connect: cfg.Settings.Limits.ConnectTimeout, Slots: slots}
+		browser := &dnssd.Browser{Fleet: c.Fleet(nodes.Carry), Log: log, Resolver: d.Resolver, Service: d.Nodes,
+			Domain: d.Domain}
+		go browser.Run(ctx)
+	}
+	if d.Serve != "" {
+		pc, err := net.ListenPacket("udp", d.Serve)
+		if err != nil {
+			return nil, fmt.Errorf("dnssd.serve: %w", err)
+		}
+		own := &dnssd.Service{Instance: cfg.Name, Type: flightService, Domain: d.Domain,
+			Addr: netip.MustParseAddrPort(deploy.Flight.Listen), Text: []string{"txtvers=1", "proto=flight"}}
+		go func() {
+			if err := own.Serve(ctx, pc); err != nil {
+				log.Error("records are no longer served", "cause", err)
+			}
+		}()
+	}
+	return server, nil
+}
+
+// drain goes on serving while clients still come, then answers what is open and returns.
+func drain(c *core.Core, clients *platform.Clients, second *flight.Server, ln net.Listener,
+	signals <-chan os.Signal, log *slog.Logger) error {
 	clients.Drain()
 	time.Sleep(restUntil)
 	clients.CloseIdle()
 	time.Sleep(listenUntil - restUntil)
 	ln.Close()
+	var open sync.WaitGroup
+	open.Go(clients.Wait)
+	if second != nil {
+		open.Go(second.Drain)
+	}
 	done := make(chan struct{})
-	go func() { clients.Wait(); close(done) }()
+	go func() { open.Wait(); close(done) }()
 	select {
 	case <-done:
 		log.Info("drained")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     json.RawMessage // in discovery's form; may be empty
+	Raw       json.RawMessage // the settings as they came; empty where they are to come from the store
 	Settings  aggregator.Settings
 	Streams   int // parts that one connection to a data node carries at once
 }
@@ -55,7 +56,8 @@
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known,
+		Raw: f.Settings}
 	for _, v := range []struct {
 		key string
 		to  *string
@@ -92,24 +94,29 @@
 	if c.Limits.Sockets < 64 {
 		return c, fmt.Errorf("limits.sockets: %d is under 64", c.Limits.Sockets)
 	}
-	if len(f.Settings) == 0 {
-		return c, fmt.Errorf("settings: missing")
+	return c, nil
+}
+
+// Adopt reads the settings, from the file or from the store.
+func (c *Config) Adopt(settings json.RawMessage) (err error) {
+	if len(settings) == 0 {
+		return fmt.Errorf("settings: missing, in the file and in the store")
 	}
-	if c.Settings, err = Settings(f.Settings); err != nil {
-		return c, err
+	if c.Settings, err = Settings(settings); err != nil {
+		return err
 	}
 	var own struct{ Limits struct{ StreamsPerConn int } }
-	if err := json.Unmarshal(f.Settings, &own); err != nil {
-		return c, fmt.Errorf("settings: %w", err)
+	if err := json.Unmarshal(settings, &own); err != nil {
+		return fmt.Errorf("settings: %w", err)
 	}
 	if c.Streams = own.Limits.StreamsPerConn; c.Streams < 1 {
 		c.Streams = 1
 	}
 	if c.Settings.Limits.ConnectTimeout <= 0 {
-		return c, fmt.Errorf("settings: Limits.ConnectTimeoutS: missing or not above 0")
+		return fmt.Errorf("settings: Limits.ConnectTimeoutS: missing or not above 0")
 	}
 	if c.Settings.Tick <= 0 {
-		return c, fmt.Errorf("settings: TickS: missing or not above 0")
+		return fmt.Errorf("settings: TickS: missing or not above 0")
 	}
-	return c, nil
+	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -98,6 +98,7 @@
 	number int
 	part   *part
 	node   *Node
+	begun  time.Time
 	why    aggregator.Outcome // of a drop that was ordered
 	over   bool
 }
@@ -134,6 +135,7 @@
 	Query
 	parts []*part
 	reply chan Answer
+	taken time.Time
 	over  bool
 }
 
@@ -253,7 +255,7 @@
 	if err := c.check(&asked); err != nil {
 		return Answer{}, err
 	}
-	q := &query{Query: asked, reply: make(chan Answer, 1)}
+	q := &query{Query: asked, taken: time.Now(), reply: make(chan Answer, 1)}
 	size := 1 + len(asked.Parts)
 	c.mu.Lock()
 	full := c.set.Limits.MaxOpen > 0 && c.pending >= c.set.Limits.MaxOpen
@@ -469,10 +471,12 @@
 			}
 		case aggregator.Refuse:
 			if q := c.queries[a.Query]; q != nil {
+				c.tell("query refused", q, now)
 				c.end(q, Answer{Verdict: Refused, After: a.After})
 			}
 		case aggregator.Fail:
 			if q := c.queries[a.Query]; q != nil {
+				c.tell("query failed", q, now)
 				c.end(q, Answer{Verdict: Failed})
 			}
 		case aggregator.Probe, aggregator.CloseIdle:
@@ -499,7 +503,7 @@
 		return
 	}
 	a := &Attempt{ID: p.id, Shard: p.shard, Text: p.q.Text, Deadline: now.Add(act.After), number: len(p.tries),
-		part: p, node: n}
+		part: p, node: n, begun: now}
 	if act.After <= 0 || a.Deadline.After(p.q.Deadline) {
 		a.Deadline = p.q.Deadline
 	}
@@ -553,6 +557,29 @@
 	}
 }
 
+// tell logs a query that ends without an answer, with the parts that it lacks and their attempts.
+func (c *Core) tell(what string, q *query, now time.Time) {
+	var missing []string
+	for _, p := range q.parts {
+		if p.in {
+			continue
+		}
+		text := strconv.Itoa(p.shard)
+		for _, a := range p.tries {
+			state := "out"
+			if a.over {
+				state = "over"
+			} else if a.why != aggregator.Unknown {
+				state = "given up"
+			}
+			text += fmt.Sprintf(" %s %s %v", a.node.id, state, now.Sub(a.begun).Round(time.Millisecond))
+		}
+		missing = append(missing, text)
+	}
+	c.log.Info(what, "query", q.ID, "class", q.Class, "after", now.Sub(q.taken).Round(time.Millisecond),
+		"left", q.Deadline.Sub(now).Round(time.Millisecond), "parts", len(q.parts), "missing", missing)
+}
+
 // free takes a query off the count of what is held.
 func (c *Core) free(q *query) {
 	c.mu.Lock()
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -5,7 +5,9 @@
 // connection, nor let an order wait here for longer than its carrier takes to pick it up.
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -175,6 +177,7 @@
 			event.Members = append(event.Members, c.member(n.member))
 		}
 	}
+	slices.SortFunc(event.Members, func(a, b aggregator.Member) int { return cmp.Compare(a.Replica, b.Replica) })
 	return event
 }
 
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,16 +34,18 @@
 	Log   *slog.Logger
 	Dial  func(ctx context.Context, addr string) (net.Conn, error)
 	Addr  string
+	Keep  func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
 
 	version int64
 	listed  bool
+	entries map[string]json.RawMessage // by id
 }
 
 // page is one message of discovery.
 type page struct {
-	Version int64
-	Full    bool
-	Servers []json.RawMessage
+	Version int64             `json:"version"`
+	Full    bool              `json:"full"`
+	Servers []json.RawMessage `json:"servers"`
 }
 
 type entry struct {
@@ -56,12 +60,18 @@
 // members reads the entries of a page. One that can't be read is skipped; a state that is not known reads as
 // draining, so that nothing new is sent.
 func (w *Watch) members(p page) (list []core.Member) {
+	if p.Full || w.entries == nil {
+		w.entries = map[string]json.RawMessage{}
+	}
 	for _, raw := range p.Servers {
 		e := entry{Weight: 1}
 		if err := json.Unmarshal(raw, &e); err != nil || e.ID == "" {
 			w.Log.Warn("entry of the list not understood", "entry", string(raw), "cause", err)
 			continue
 		}
+		if w.entries[e.ID] = raw; e.State == "DELETED" {
+			delete(w.entries, e.ID)
+		}
 		m := core.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, State: core.Draining}
 		if state, known := states[e.State]; known {
 			m.State = state
@@ -83,6 +93,7 @@
 		w.Log.Warn("remembered list not understood", "cause", err)
 		return
 	}
+	p.Full = true
 	w.version, w.listed = p.Version, true
 	w.Fleet.Replace(w.members(p), true)
 }
@@ -156,6 +167,21 @@
 			w.Fleet.Change(w.members(p))
 		}
 		w.version, w.listed = p.Version, true
+		w.keep()
+	}
+}
+
+// keep passes on the whole list.
+func (w *Watch) keep() {
+	if w.Keep == nil {
+		return
+	}
+	p := page{Version: w.version, Full: true, Servers: []json.RawMessage{}}
+	for _, id := range slices.Sorted(maps.Keys(w.entries)) {
+		p.Servers = append(p.Servers, w.entries[id])
+	}
+	if data, err := json.Marshal(p); err == nil {
+		w.Keep(data)
 	}
 }
 
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -308,9 +308,9 @@
 				c.l.mu.Unlock()
 				return nil
 			}
-			end := now.Add(c.l.Idle)
-			if len(c.out) == 0 {
-				end = c.idleEnd()
+			end := c.idleEnd()
+			if !end.After(now) { // parts are out on it
+				end = now.Add(c.l.Idle / 8)
 			}
 			c.l.mu.Unlock()
 			c.wait(end)
--- /dev/null
+++ b/internal/platform/scenario_test.go
@@ -0,0 +1,533 @@
+package platform
+
+// Scenarios in virtual time. A line is an actor, a verb (send, expect, close, wait) and a text. The actors: c1,
+// c2 ... clients; n1, n2 ... data nodes, n1 for the even shards and n2 for the odd; m1 a data node for the even
+// shards that takes connections and never reads; h1 one whose connections never come up; d1 discovery; s1 the
+// signals. "expect -" tells that nothing has come, "expect end" that the connection was closed.
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+)
+
+var scenarios = []struct {
+	name, nodes, script string
+}{
+	{"parts of one query for one data node are one frame", "n1 n2", `
+		c1 send query q1 2000 0,1,2
+		n1 expect Q q1.0,q1.2
+		n2 expect Q q1.1
+		n1 send A q1.0 ok v0
+		n1 send A q1.2 ok v2
+		c1 expect -
+		n2 send A q1.1 ok v1
+		c1 expect 200 {"complete":true,"hits":[{"shard":0,"doc":"v0"},{"shard":1,"doc":"v1"},{"shard":2,"doc":"v2"}]}
+		c1 send query q2 2000 0
+		n1 expect Q q2.0
+		n1 send A q2.0 ok w
+		c1 expect 200 {"complete":true,"hits":[{"shard":0,"doc":"w"}]}`},
+	// Guards rule 1: what is given up gets its answer at once, and clients are told when to come back.
+	{"a query without a data node is refused at once", "n1", `
+		c1 send query q1 2000 1
+		wait 20ms
+		c1 expect 503 after {"error":"refused"}`},
+	// Guards against work that nobody waits for.
+	{"a client that leaves has its parts given up", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		c1 close
+		n1 expect X q1.0`},
+	// Guards the rule against twin attempts: the time-out is told before the query ends.
+	{"an attempt that times out is given up at the data node", "n1", `
+		c1 send query q1 3000 0
+		n1 expect Q q1.0
+		wait 1s
+		n1 expect X q1.0
+		c1 expect 503 after {"error":"refused"}
+		n1 send A q1.0 ok late
+		c1 expect -`},
+	{"bad input never reaches the core", "n1", `
+		c1 send query q1 2000 9
+		c1 expect 400
+		c1 send query q1 0 0
+		c1 expect 400
+		c1 send query q1 2000 0,0
+		c1 expect 400
+		c1 send raw "POST /report HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: club\r\nReq-Deadline-Ms: 9\r\nContent-Length: 1\r\n\r\n{"
+		c1 expect 400
+		c1 send raw "POST /unknown HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: club\r\nReq-Deadline-Ms: 900\r\nContent-Length: 24\r\n\r\n{\"shards\":[{\"shard\":0}]}"
+		c1 expect 400
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200
+		c1 send raw "GET /report HTTP/1.1\r\n\r\n"
+		c1 expect 404
+		c1 send raw "PUT /report HTTP/1.1\r\n\r\n"
+		c1 expect 405
+		c1 send raw "POST /report HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"
+		c1 expect 413 close
+		c1 expect end
+		c2 send raw "nonsense\r\n\r\n"
+		c2 expect 400 close
+		c3 send raw "POST /report HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+		c3 expect 400 close
+		c4 send long
+		c4 expect 431 close
+		n1 expect -`},
+	{"a body in chunks", "n1", `
+		c1 send raw "POST /report HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: club\r\nReq-Deadline-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n"
+		c1 send raw "e;x=1\r\n{\"shards\":[{\"s\r\n20\r\nhard\":0,\"weight\":1}],\"q\":\"text\"}\r\n0\r\nTrailer: 1\r\n\r\n"
+		n1 expect Q a.0
+		n1 send A a.0 ok v
+		c1 expect 200
+		c1 send raw "POST /report HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+		c1 expect 400 close`},
+	// Guards the process: a bad frame costs its connection, and what was out on it is tried again.
+	{"a frame that can't be read ends its connection only", "n1 n2", `
+		c1 send query q1 2000 0,1
+		n1 expect Q q1.0
+		n2 expect Q q1.1
+		n2 send A q1.1 ok v1
+		n1 send raw "\x00\x00\x00\x00"
+		n1 expect end
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v0
+		c1 expect 200`},
+	{"a late answer to a part that was given up is not taken for one to the next", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A other.0 ok x
+		n1 send A q1.0 ok v0 util=oops
+		c1 expect 200 {"complete":true,"hits":[{"shard":0,"doc":"v0 util=oops"}]}`},
+	// Guards against resets: the data node's machine closes idle connections after 30 s.
+	{"an idle connection is closed before the peer does so", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200
+		wait 26s
+		n1 expect -
+		wait 1s
+		n1 expect end`},
+	{"a data node that ended a connection is reached by a new one", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200
+		n1 close
+		c1 send query q2 2000 0
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c1 expect 200`},
+	// Guards the loop: a peer that does not read holds up neither it nor other data nodes.
+	{"a data node that never reads", "m1 n2", `
+		c1 send query q1 3000 0
+		c2 send query q2 3000 1
+		n2 expect Q q2.1
+		n2 send A q2.1 ok v
+		c2 expect 200
+		wait 1200ms
+		c1 expect 503 after {"error":"refused"}`},
+	{"a connection that never comes up", "h1 n2", `
+		c1 send query q1 3000 0
+		c2 send query q2 3000 1
+		n2 expect Q q2.1
+		n2 send A q2.1 ok v
+		c2 expect 200
+		wait 1200ms
+		c1 expect 503 after {"error":"refused"}`},
+	{"an ejected data node is probed and comes back", "n1", `
+		c1 send query q1 3000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 err
+		n1 expect Q q1.0
+		n1 send A q1.0 err
+		n1 expect Q q1.0
+		n1 send A q1.0 err
+		c1 expect 503 after {"error":"refused"}
+		wait 3s
+		c1 send query q2 2000 0
+		n1 expect L
+		n1 send L util=0.5
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c1 expect 200`},
+	{"the watch is opened anew after the last version, and when it falls silent", "n1 n2", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send page {"version":42,"full":false,"servers":[{"id":"n1","addr":"n1","cell":0,"state":"SERVING","weight":1}]}
+		d1 close
+		wait 300ms
+		d1 expect GET /discovery/hosts?watch=1&after=42
+		d1 send line
+		wait 4s
+		d1 send line
+		wait 4s
+		d1 expect -
+		wait 2s
+		d1 expect end
+		wait 300ms
+		d1 expect GET /discovery/hosts?watch=1&after=42`},
+	// Guards the rule on drains: changes hold from when they are told, complete lists too.
+	{"a drain, a bad entry and a complete list are applied at once", "n1 n2", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send page {"version":42,"servers":[7,{"id":"n1","addr":"n1","cell":0,"state":"DRAINING"}]}
+		wait 10ms
+		c1 send query q1 2000 0
+		wait 20ms
+		c1 expect 503 after {"error":"refused"}
+		d1 send page {"version":43,"full":true,"servers":[{"id":"n1","addr":"n1","cell":0,"state":"SERVING"}]}
+		wait 10ms
+		c1 send query q2 2000 1
+		wait 20ms
+		c1 expect 503 after {"error":"refused"}
+		c1 send query q3 2000 0
+		n1 expect Q q3.0
+		n1 send A q3.0 ok v
+		c1 expect 200
+		n2 expect -`},
+	{"a list that can't be read costs the watch only", "n1", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send page {"version":
+		d1 expect end
+		wait 300ms
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		c1 send query q1 2000 0
+		n1 expect Q q1.0`},
+	// Guards what was taken before and after SIGTERM: answers go out, connections end between requests.
+	{"SIGTERM", "n1", `
+		c1 send query q1 2000 0
+		c2 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c2 expect 200
+		n1 expect Q q1.0
+		s1 send drain
+		c3 send query q3 2000 0
+		n1 expect Q q3.0
+		n1 send A q3.0 ok v
+		c3 expect 200 close
+		c3 expect end
+		c2 expect -
+		s1 send rest
+		c2 expect end
+		c1 expect -
+		n1 send A q1.0 ok v
+		c1 expect 200 close
+		c1 expect end`},
+}
+
+// actor is one party of a scenario.
+type actor struct {
+	name   string
+	dials  chan net.Conn // from the program
+	nc     net.Conn
+	msgs   chan string
+	headed net.Conn
+}
+
+type world struct {
+	t       *testing.T
+	actors  map[string]*actor
+	clients *Clients
+	ended   context.Context
+}
+
+func TestScenarios(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, s.nodes, s.script) })
+		})
+	}
+}
+
+func play(t *testing.T, nodes, script string) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 2, Shards: 4, Reach: 1,
+		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1,
+			LateWorth: 0.1, Need: 1, Floor: 1}},
+		Tenants: []aggregator.Tenant{{Name: "club", Rate: 100}}, CallCost: time.Millisecond,
+		Limits: aggregator.Limits{Attempts: 3, Bundle: 8, Cancel: true, Probes: true, RetryAfter: true,
+			MaxRetryAfter: time.Second, ConnectTimeout: 250 * time.Millisecond, ConnIdle: 30 * time.Second},
+		Rules: aggregator.Rules{DrainGrace: 2 * time.Second},
+	}
+	c, err := core.New(set, 7, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	w := &world{t: t, actors: map[string]*actor{}, ended: ctx,
+		clients: &Clients{Core: c, Log: log, Slots: make(chan struct{}, 9)}}
+	go c.Run(ctx)
+	carrier := &Nodes{Core: c, Log: log, Dial: w.dial, Streams: 32, Connect: set.Limits.ConnectTimeout,
+		Idle: set.Limits.ConnIdle, Slots: make(chan struct{}, 9)}
+	watch := &Watch{Fleet: c.Fleet(carrier.Carry), Log: log, Dial: w.dial, Addr: "d1"}
+	var list []string
+	for _, id := range strings.Fields(nodes) {
+		w.actor(id)
+		list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"cell":%d,"state":"SERVING"}`, id, id, (id[1]+1)%2))
+	}
+	w.actor("d1")
+	watch.Remember(fmt.Appendf(nil, `{"version":41,"servers":[%s]}`, strings.Join(list, ",")))
+	watching := make(chan bool)
+	watched, unwatch := context.WithCancel(ctx)
+	go func() { watch.Run(watched); close(watching) }()
+
+	for i, line := range strings.Split(strings.TrimSpace(script), "\n") {
+		words := strings.SplitN(strings.TrimSpace(line), " ", 3)
+		synctest.Wait()
+		if words[0] == "wait" {
+			d, err := time.ParseDuration(words[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(d)
+			continue
+		}
+		a := w.actor(words[0])
+		switch words[1] {
+		case "send":
+			w.send(a, words[2])
+		case "expect":
+			got := w.next(a, words[2] == "-")
+			want := words[2]
+			if n := len(want); a.name[0] == 'c' && len(got) > n && !strings.Contains(want, "{") {
+				got = strings.TrimSpace(got[:n]) // the status only
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("line %d, %s: (-want +got)\n%s", i+1, strings.TrimSpace(line), diff)
+			}
+		case "close":
+			a.nc.Close()
+			a.nc = nil
+			for <-a.msgs != "end" { // what its own reader saw of it
+			}
+		default:
+			t.Fatalf("line %d: verb %q", i+1, words[1])
+		}
+	}
+	// Everything is given back: with no data node listed and no client left, nothing may go on running.
+	unwatch()
+	for _, a := range w.actors {
+		if a.nc != nil && a.name[0] != 'n' {
+			a.nc.Close()
+		}
+	}
+	<-watching
+	watch.Fleet.Replace(nil, false)
+	time.Sleep(10 * time.Second)
+	for _, a := range w.actors {
+		for a.accept(); a.nc != nil; a.accept() {
+			a.nc.Close()
+			a.nc = nil
+		}
+	}
+	synctest.Wait()
+	if len(carrier.Slots) > 0 {
+		t.Errorf("%d connections were not given back", len(carrier.Slots))
+	}
+	if c.Open() > 0 {
+		t.Errorf("%d queries and parts are still held", c.Open())
+	}
+	stop()
+}
+
+func (w *world) actor(name string) *actor {
+	if w.actors[name] == nil {
+		w.actors[name] = &actor{name: name, dials: make(chan net.Conn, 9), msgs: make(chan string, 99)}
+	}
+	return w.actors[name]
+}
+
+// dial is the network as the program sees it.
+func (w *world) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if addr[0] == 'h' {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ours, theirs := net.Pipe()
+	w.actors[addr].dials <- theirs
+	return ours, nil
+}
+
+// accept takes the next connection that the program opened, if there is one and none is in hand.
+func (a *actor) accept() {
+	if a.nc == nil {
+		select {
+		case a.nc = <-a.dials:
+			if a.name[0] != 'm' {
+				go a.read(a.nc)
+			}
+		default:
+		}
+	}
+}
+
+// next is the next message of an actor, "-" for none.
+func (w *world) next(a *actor, none bool) string {
+	for end := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		synctest.Wait()
+		a.accept()
+		synctest.Wait()
+		select {
+		case msg := <-a.msgs:
+			if msg == "end" && a.nc != nil {
+				a.nc.Close()
+				a.nc = nil
+			}
+			return msg
+		default:
+		}
+		if none || time.Now().After(end) {
+			return "-"
+		}
+	}
+}
+
+// read turns what comes into messages.
+func (a *actor) read(nc net.Conn) {
+	in := textproto.NewReader(bufio.NewReader(nc))
+	for {
+		var msg string
+		var err error
+		switch a.name[0] {
+		case 'c':
+			msg, err = response(in)
+		case 'n':
+			msg, err = frameText(in.R)
+		case 'd':
+			if msg, err = in.ReadLine(); err == nil {
+				msg = strings.TrimSuffix(msg, " HTTP/1.1")
+				_, err = in.ReadMIMEHeader()
+			}
+		}
+		if err != nil {
+			a.msgs <- "end"
+			return
+		}
+		a.msgs <- msg
+	}
+}
+
+func response(in *textproto.Reader) (string, error) {
+	line, err := in.ReadLine()
+	if err != nil {
+		return "", err
+	}
+	header, err := in.ReadMIMEHeader()
+	if err != nil {
+		return "", err
+	}
+	n, _ := strconv.Atoi(header.Get("Content-Length"))
+	body := make([]byte, n)
+	_, err = io.ReadFull(in.R, body)
+	text := strings.Fields(line)[1]
+	if header.Get("Retry-After") != "" {
+		text += " after"
+	}
+	if header.Get("Connection") == "close" {
+		text += " close"
+	}
+	return text + " " + string(body), err
+}
+
+func frameText(in *bufio.Reader) (string, error) {
+	var size uint32
+	if err := binary.Read(in, binary.LittleEndian, &size); err != nil {
+		return "", err
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(in, body); err != nil {
+		return "", err
+	}
+	text, rest := string(body[0]), string(body[1:])
+	if text == "Q" {
+		var ids []string
+		for rest != "" {
+			line, after, _ := strings.Cut(rest, "\n")
+			words := strings.Fields(line)
+			n, _ := strconv.Atoi(words[3])
+			if after[:n] != "text" {
+				return "", fmt.Errorf("text %q", after[:n])
+			}
+			ids, rest = append(ids, words[0]), after[n:]
+		}
+		rest = strings.Join(ids, ",")
+	}
+	return strings.TrimSpace(text + " " + rest), nil
+}
+
+func (w *world) send(a *actor, text string) {
+	if a.name[0] == 'c' && a.nc == nil {
+		ours, theirs := net.Pipe()
+		a.nc = ours
+		go w.clients.ServeConn(theirs)
+		go a.read(a.nc)
+	}
+	words := strings.SplitN(text, " ", 4)
+	var data string
+	switch {
+	case text == "drain":
+		w.clients.Drain()
+		return
+	case text == "rest":
+		w.clients.CloseIdle()
+		return
+	case words[0] == "raw":
+		var err error
+		if data, err = strconv.Unquote(strings.TrimPrefix(text, "raw ")); err != nil {
+			w.t.Fatal(err)
+		}
+	case text == "long":
+		data = "GET /up HTTP/1.1\r\nX: " + strings.Repeat("x", 200_000) + "\r\n\r\n"
+	case words[0] == "query":
+		var parts []string
+		for _, shard := range strings.Split(words[3], ",") {
+			parts = append(parts, fmt.Sprintf(`{"shard":%s,"weight":%g}`, shard, 1/float64(1+strings.Count(words[3], ","))))
+		}
+		body := `{"shards":[` + strings.Join(parts, ",") + `],"q":"text"}`
+		data = fmt.Sprintf("POST /report HTTP/1.1\r\nReq-Id: %s\r\nReq-Owner: club\r\nReq-Deadline-Ms: %s\r\n"+
+			"Content-Length: %d\r\n\r\n%s", words[1], words[2], len(body), body)
+	case words[0] == "A":
+		value := ""
+		if len(words) > 3 {
+			value = words[3]
+		}
+		data = frameOf(fmt.Sprintf("A%s %s 1 util=0.5,odd=x\n%s", words[1], words[2], value))
+	case words[0] == "L":
+		data = frameOf("L" + strings.TrimPrefix(text, "L "))
+	case words[0] == "page", words[0] == "line":
+		line := strings.TrimSpace(strings.TrimPrefix(text, words[0])) + "\n"
+		if words[0] == "line" {
+			line = "\n"
+		}
+		if a.headed != a.nc { // the head of the watch's answer, once a connection
+			a.headed = a.nc
+			data = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		}
+		data += fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
+	}
+	nc := a.nc
+	if nc == nil {
+		w.t.Errorf("%s has no connection to send %q on", a.name, text)
+		return
+	}
+	go func() { io.WriteString(nc, data) }() // a pipe takes what is read only
+	synctest.Wait()
+}
+
+func frameOf(body string) string {
+	return string(binary.LittleEndian.AppendUint32(nil, uint32(len(body)))) + body
+}
