--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,107 @@
+package store
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"gullfall/internal/config"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func open(t *testing.T, cfg config.Store, name string) *Store {
+	t.Helper()
+	s, err := Open(cfg, name, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// until waits for a member to hold a value.
+func until(t *testing.T, s *Store, key, want string) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); string(s.Get(key)) != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s is %q, never %q", key, s.Get(key), want)
+		}
+	}
+}
+
+// TestOneMember: alone and in memory, as on the platform, the store takes what it is handed, also before it
+// leads, and the latest value of a key wins.
+func TestOneMember(t *testing.T) {
+	s := open(t, config.Store{}, "n0")
+	defer s.Close()
+	for i := range 10 {
+		s.Put(Members, fmt.Appendf(nil, "list %d", i))
+	}
+	s.Put(Settings, []byte("settings"))
+	until(t, s, Members, "list 9")
+	until(t, s, Settings, "settings")
+}
+
+// TestRestoredAtStart: what a member held on disk can be read as soon as it is opened, before any election.
+func TestRestoredAtStart(t *testing.T) {
+	cfg := config.Store{Directory: t.TempDir()}
+	for round := range 3 {
+		s := open(t, cfg, "n0")
+		if got, want := string(s.Get(Members)), []string{"", "list 0", "list 1"}[round]; got != want {
+			t.Errorf("round %d: restored %q, want %q", round, got, want)
+		}
+		next := fmt.Sprintf("list %d", round)
+		s.Put(Members, []byte(next))
+		until(t, s, Members, next)
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestLostQuorum: three members hold what the leader is told; once two are gone, reads and writes still return
+// at once, and the value waits for the quorum to come back.
+func TestLostQuorum(t *testing.T) {
+	var peers []config.Peer
+	for i := range 3 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, config.Peer{Name: fmt.Sprintf("n%d", i), Addr: ln.Addr().String()})
+		ln.Close()
+	}
+	member := func(i int, dir string) *Store {
+		return open(t, config.Store{Directory: dir, Listen: peers[i].Addr, Peer: peers}, peers[i].Name)
+	}
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	var all []*Store
+	for i := range peers {
+		all = append(all, member(i, dirs[i]))
+	}
+	put := func(value string) {
+		for _, s := range all {
+			s.Put(Members, []byte(value)) // each coordinator hears the same list
+		}
+	}
+	put("before")
+	for _, s := range all {
+		until(t, s, Members, "before")
+	}
+	all[1].Close()
+	all[2].Close()
+	start := time.Now()
+	all[0].Put(Members, []byte("after"))
+	if got := string(all[0].Get(Members)); got != "before" || time.Since(start) > time.Second {
+		t.Errorf("without a quorum: %q after %v", got, time.Since(start))
+	}
+	all[1] = member(1, dirs[1])
+	all[1].Put(Members, []byte("after"))
+	until(t, all[0], Members, "after")
+	until(t, all[1], Members, "after")
+	all[0].Close()
+	all[1].Close()
+}
