--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -16,6 +16,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -240,6 +241,7 @@
 
 type world struct {
 	t       *testing.T
+	mu      sync.Mutex // guards actors
 	actors  map[string]*actor
 	clients *Clients
 	ended   context.Context
@@ -345,6 +347,8 @@
 }
 
 func (w *world) actor(name string) *actor {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.actors[name] == nil {
 		w.actors[name] = &actor{name: name, dials: make(chan net.Conn, 9), msgs: make(chan string, 99)}
 	}
@@ -358,7 +362,7 @@
 		return nil, ctx.Err()
 	}
 	ours, theirs := net.Pipe()
-	w.actors[addr].dials <- theirs
+	w.actor(addr).dials <- theirs
 	return ours, nil
 }
 
