--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("flight.listen: %w", err)
 	}
-	server := flight.NewServer(c, log)
+	server := flight.NewServer(c, log, int64(cfg.Limits.MemoryMB)<<20/4)
 	go func() { served <- server.Serve(ln, min(deploy.Flight.Connections, cfg.Limits.Sockets/8)) }()
 	log.Info("serving Arrow Flight", "listen", deploy.Flight.Listen)
 	d := deploy.DNSSD
--- /dev/null
+++ b/cmd/gullfall/main_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	arrowflight "github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/miekg/dns"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+const settings = `{"TickS":0.005,"Az":"a","Balancers":1,"Discovery":"automatic",
+ "Classes":[{"Name":"report","Effect":"safe","AimS":1,"HardLimitS":3,"Gain":1}],
+ "FamilyInfo":{"Sets":1,"Slabs":4,"Width":1,"BundleMax":8},
+ "Limits":{"Cancel":true,"SendCap":3,"ConnectTimeoutS":0.25,"ConnIdleS":30,"StreamsPerConn":32,"RetryAfter":true,"MaxRetryAfterS":2}}`
+
+// free is an address that nobody listens on.
+func free(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer pc.Close()
+		return pc.LocalAddr().String()
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// get asks the platform's front on a new connection; "" where there is no answer.
+func get(addr, path string) string {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return ""
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nConnection: close\r\n\r\n", path)
+	answer, _ := io.ReadAll(nc)
+	line, _, _ := strings.Cut(string(answer), "\r\n")
+	return line
+}
+
+// TestProgram starts the whole program with both fronts, on settings that it finds in its store the second
+// time, and ends it by SIGTERM, after which it goes on serving for a while.
+func TestProgram(t *testing.T) {
+	dir := t.TempDir()
+	t.Chdir(dir)
+	listen, second, records := free(t, "tcp"), free(t, "tcp"), free(t, "udp")
+	deploy := fmt.Sprintf("[flight]\nlisten = %q\n[dnssd]\nresolver = %q\nserve = %q\n[store]\ndirectory = %q\n", second,
+		records, records, filepath.Join(dir, "store"))
+	if err := os.Mkdir("deploy", 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile("deploy/gullfall.toml", []byte(deploy), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("NODE_CONFIG", filepath.Join(dir, "config.json"))
+	for round, given := range []string{`,"settings":` + settings, ""} {
+		config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+			"limits":{"cores":1.0,"memory_mb":192,"sockets":1024}%s}`, listen, free(t, "tcp"), given)
+		if err := os.WriteFile("config.json", []byte(config), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- run(slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+		for end := time.Now().Add(20 * time.Second); get(listen, "/up") != "HTTP/1.1 200 OK"; time.Sleep(10 * time.Millisecond) {
+			select {
+			case err := <-ended:
+				t.Fatalf("round %d: ended with %v", round, err)
+			default:
+			}
+			if time.Now().After(end) {
+				t.Fatalf("round %d: never up", round)
+			}
+		}
+		cc, err := grpc.NewClient("passthrough:///"+second, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(10*time.Second))
+		stream, err := arrowflight.NewClientFromConn(cc, nil).DoGet(ctx, &arrowflight.Ticket{Ticket: []byte(`{"class":"none"}`)},
+			grpc.WaitForReady(true))
+		if err == nil {
+			_, err = stream.Recv()
+		}
+		if status.Code(err) != codes.InvalidArgument {
+			t.Errorf("round %d: an unknown class by Flight: %v", round, err)
+		}
+		cancel()
+		cc.Close()
+		q := new(dns.Msg).SetQuestion("n0._gullfall._tcp.local.", dns.TypeSRV)
+		if m, _, err := new(dns.Client).Exchange(q, records); err != nil || len(m.Answer) != 1 {
+			t.Errorf("round %d: own records: %v, %v", round, m, err)
+		}
+		if round == 0 {
+			time.Sleep(3 * time.Second) // the store takes the settings once its one member leads
+		}
+		start := time.Now()
+		syscall.Kill(os.Getpid(), syscall.SIGTERM)
+		time.Sleep(600 * time.Millisecond)
+		if got := get(listen, "/up"); got != "HTTP/1.1 200 OK" && time.Since(start) < listenUntil {
+			t.Errorf("round %d: a client that comes 0.6 s after SIGTERM gets %q", round, got)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("round %d: %v", round, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:5000","discovery":"127.0.2.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":41,"full":true,"servers":[]},
+ "settings":{"TickS":0.005,"Classes":[{"Name":"a","AimS":1,"HardLimitS":2,"Effect":"safe"}],
+  "FamilyInfo":{"Sets":4,"Slabs":16,"Width":1,"ClassNeed":[1.0]},"Limits":{"ConnectTimeoutS":0.25,"StreamsPerConn":32}}}`
+
+func load(text string, env map[string]string) (Config, error) {
+	c, err := Parse([]byte(text), func(k string) string { return env[k] })
+	if err == nil {
+		err = c.Adopt(c.Raw)
+	}
+	return c, err
+}
+
+func TestGoodConfiguration(t *testing.T) {
+	c, err := load(good, map[string]string{"NODE_NAME": "n4"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n4" || c.Seed != 0x8c1f30d27a5be964 || c.Streams != 32 || c.Settings.Cells != 4 || len(c.Known) == 0 {
+		t.Errorf("got %+v", c)
+	}
+	small, err := load(strings.Replace(good, `"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", 1), nil)
+	if err != nil || small.Limits != (Limits{1, 192, 1024}) {
+		t.Errorf("defaults: %+v, %v", small.Limits, err)
+	}
+}
+
+// TestErrorsNameTheKey: whoever edits a configuration finds the faulty key in the message.
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, key string }{
+		{`"name":"n3"`, `"name":""`, "name"},
+		{`127.0.0.4:5000`, `nowhere`, "listen"},
+		{`127.0.2.1:8500`, `127.0.2.1`, "discovery"},
+		{`8c1f30d27a5be964`, `seed`, "seed"},
+		{`"sockets":1024`, `"sockets":7`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":-1`, "limits"},
+		{`"memory_mb":192`, `"memory_mb":"x"`, "memory_mb"},
+		{`"TickS":0.005`, `"TickS":0`, "TickS"},
+		{`"ConnectTimeoutS":0.25`, `"ConnectTimeoutS":0`, "ConnectTimeoutS"},
+		{`"ClassNeed":[1.0]`, `"ClassNeed":[1.0,1.0]`, "FamilyInfo"},
+		{`"AimS":1`, `"AimS":"x"`, "AimS"},
+		{`"settings"`, `"other"`, "settings"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if text == good {
+			t.Fatalf("%s is not in the configuration", c.from)
+		}
+		if _, err := load(text, nil); err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%s: error %v does not name %s", c.to, err, c.key)
+		}
+	}
+}
+
+func TestDeployFile(t *testing.T) {
+	dir := t.TempDir()
+	for i, c := range []struct{ text, key string }{
+		{"", ""},
+		{"[flight]\nlisten = \"127.0.0.1:8815\"", ""},
+		{"[flight]\nlisten = \"192.0.2.1:8815\"", "flight.listen"},
+		{"[flight]\nlisten = \"here\"", "flight.listen"},
+		{"[flight]\nconnections = -1", "flight.connections"},
+		{"[flight]\nlissten = \"\"", "flight.lissten"},
+		{"[dnssd]\nserve = \"127.0.0.1:5353\"", "dnssd.serve"},
+		{"[dnssd]\nnodes = \"node\"", "dnssd.nodes"},
+		{"[store]\nlisten = \"127.0.0.1:8300\"", "store.listen"},
+		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n1\"\naddr = \"127.0.0.1:8300\"", "store.peer"},
+		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"x\"", "store.peer[0].addr"},
+		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"127.0.0.1:8300\"", ""},
+	} {
+		path := filepath.Join(dir, "deploy.toml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadDeploy(path, "n0")
+		if (err == nil) != (c.key == "") || err != nil && !strings.Contains(err.Error(), c.key) {
+			t.Errorf("case %d: error %v, want one that names %q", i, err, c.key)
+		}
+	}
+	if d, err := LoadDeploy(filepath.Join(dir, "none"), "n0"); err != nil || d.Flight.Listen != "" {
+		t.Errorf("no file: %+v, %v", d, err)
+	}
+}
+
+// TestShippedDeployFile: the file in the repository reads without error and leaves everything off, as the
+// platform needs it.
+func TestShippedDeployFile(t *testing.T) {
+	d, err := LoadDeploy("../../"+DeployFile, "n0")
+	if err != nil || d.Flight.Listen != "" || d.DNSSD.Resolver != "" || d.DNSSD.Serve != "" || d.Store.Directory != "" ||
+		d.Store.Listen != "" {
+		t.Errorf("%+v, %v", d, err)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,224 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gullfall/aggregator"
+)
+
+// stand is a core with one data node whose carrier does as the test says, in virtual time.
+type stand struct {
+	*Core
+	fleet *Fleet
+	mu    sync.Mutex
+	seen  []string
+	end   func()
+}
+
+func newStand(t *testing.T, maxOpen int, act func(s *stand, o *Order)) *stand {
+	t.Helper()
+	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 1, Shards: 4, Reach: 1,
+		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}},
+		Limits: aggregator.Limits{Attempts: 3, Bundle: 2, Cancel: true, MaxOpen: maxOpen, RetryAfter: true,
+			MaxRetryAfter: 2 * time.Second},
+		CallCost: time.Millisecond,
+	}
+	c, err := New(set, 7, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stand{Core: c}
+	s.fleet = c.Fleet(func(n *Node) {
+		for o := n.Pick(context.Background()); o != nil; o = n.Pick(context.Background()) {
+			s.mu.Lock()
+			switch {
+			case o.Call != nil:
+				line := "call"
+				for _, a := range o.Call {
+					line += " " + a.ID
+				}
+				s.seen = append(s.seen, line)
+			case o.Drop != nil:
+				s.seen = append(s.seen, "drop "+o.Drop.ID)
+			case o.Barred:
+				s.seen = append(s.seen, "barred")
+			}
+			s.mu.Unlock()
+			act(s, o)
+		}
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	go c.Run(ctx)
+	s.fleet.Replace([]Member{{ID: "n1"}}, false)
+	s.end = func() {
+		s.fleet.Replace(nil, false)
+		time.Sleep(10 * time.Second)
+		stop()
+	}
+	return s
+}
+
+func (s *stand) ask(ctx context.Context, id string, shards ...int) string {
+	q := Query{ID: id, Class: "report", Deadline: time.Now().Add(2 * time.Second), Text: "t"}
+	for _, shard := range shards {
+		q.Parts = append(q.Parts, Part{Shard: shard, Weight: 1 / float64(len(shards))})
+	}
+	a, err := s.Ask(ctx, q)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(a.Verdict, a.Whole, len(a.Hits), a.After > 0)
+}
+
+// serve answers every call and every drop.
+func serve(s *stand, o *Order) {
+	for _, a := range o.Call {
+		s.Report(a, Result{Outcome: Served, Docs: [][]byte{[]byte("v")}})
+		s.Report(a, Result{Outcome: Reset}) // only the first report of an attempt counts
+	}
+	if o.Drop != nil {
+		s.Report(o.Drop, Result{Outcome: Dropped})
+	}
+}
+
+// TestOneRound: a query's parts go out in one round, in calls of at most a bundle.
+func TestOneRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 0, serve)
+		if got := s.ask(t.Context(), "q", 0, 1, 2); got != "1 true 3 false" {
+			t.Errorf("got %s", got)
+		}
+		if diff := cmp.Diff([]string{"call q.0 q.1", "call q.2"}, s.seen); diff != "" {
+			t.Errorf("(-want +got)\n%s", diff)
+		}
+		s.end()
+	})
+}
+
+// TestTimeOutIsTold: an attempt whose time is over is dropped at the data node before its query ends, and a
+// client that leaves has its part dropped.
+func TestTimeOutIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 0, func(s *stand, o *Order) {
+			if o.Drop != nil {
+				serve(s, o)
+			}
+		})
+		if got := s.ask(t.Context(), "q", 0); got != "2 false 0 true" {
+			t.Errorf("got %s", got)
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		if got := s.ask(ctx, "r", 1); got != ErrGone.Error() {
+			t.Errorf("got %s", got)
+		}
+		time.Sleep(time.Second)
+		if diff := cmp.Diff([]string{"call q.0", "drop q.0", "call r.1", "drop r.1"}, s.seen); diff != "" {
+			t.Errorf("(-want +got)\n%s", diff)
+		}
+		if len(s.queries)+len(s.parts)+len(s.attempts)+s.Open() > 0 {
+			t.Errorf("still held: %d queries, %d parts, %d attempts", len(s.queries), len(s.parts), len(s.attempts))
+		}
+		s.end()
+	})
+}
+
+// TestMaxOpen: with as much open as the settings allow, a query is refused at once, with a time to come back.
+func TestMaxOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 6, func(s *stand, o *Order) {
+			if o.Drop != nil {
+				serve(s, o)
+			}
+		})
+		for i := range 3 {
+			go s.ask(t.Context(), fmt.Sprint("q", i), 0)
+		}
+		synctest.Wait()
+		start := time.Now()
+		if got := s.ask(t.Context(), "r", 0); got != "2 false 0 true" || time.Since(start) > 0 {
+			t.Errorf("got %s after %v", got, time.Since(start))
+		}
+		time.Sleep(5 * time.Second)
+		s.end()
+	})
+}
+
+// TestSameIDTwice: a second query under an id that is open fails and leaves the first alone; parts are known by
+// their query's id, so both could not be told apart.
+func TestSameIDTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 0, func(s *stand, o *Order) {
+			time.Sleep(100 * time.Millisecond)
+			serve(s, o)
+		})
+		first := make(chan string)
+		go func() { first <- s.ask(t.Context(), "q", 0) }()
+		synctest.Wait()
+		if got := s.ask(t.Context(), "q", 0); got != "3 false 0 false" {
+			t.Errorf("second: %s", got)
+		}
+		if got := <-first; got != "1 true 1 false" {
+			t.Errorf("first: %s", got)
+		}
+		s.end()
+	})
+}
+
+// TestPanickingModule: a module that panics costs the queries it held, each still with its one answer, and the
+// program goes on with a new one.
+func TestPanickingModule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 0, serve)
+		time.Sleep(time.Second)
+		s.agg = nil // its next Step panics
+		if got := s.ask(t.Context(), "q", 0); got != "3 false 0 false" {
+			t.Errorf("held as it panicked: %s", got)
+		}
+		time.Sleep(time.Second)
+		if got := s.ask(t.Context(), "r", 0); got != "1 true 1 false" {
+			t.Errorf("after it: %s", got)
+		}
+		s.end()
+	})
+}
+
+// TestInput: what can't be asked never reaches the module.
+func TestInput(t *testing.T) {
+	c, err := New(aggregator.Settings{Cells: 1, Shards: 2, Reach: 1, Tenants: []aggregator.Tenant{{Name: "club"}},
+		Classes: []aggregator.Class{{Name: "report", Aim: 1, Deadline: 1}}}, 1, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*Query){
+		"class":    func(q *Query) { q.Class = "other" },
+		"owner":    func(q *Query) { q.Owner = "other" },
+		"no id":    func(q *Query) { q.ID = "" },
+		"id":       func(q *Query) { q.ID = "a b" },
+		"no parts": func(q *Query) { q.Parts = nil },
+		"shard":    func(q *Query) { q.Parts[0].Shard = 2 },
+		"negative": func(q *Query) { q.Parts[0].Shard = -1 },
+		"twice":    func(q *Query) { q.Parts = append(q.Parts, q.Parts[0]) },
+		"weight":   func(q *Query) { q.Parts[0].Weight = -1 },
+		"deadline": func(q *Query) { q.Deadline = time.Now().Add(-time.Second) },
+	} {
+		q := Query{ID: "q", Class: "report", Owner: "club", Deadline: time.Now().Add(time.Second), Parts: []Part{{Shard: 1, Weight: 1}}}
+		spoil(&q)
+		if _, err := c.Ask(t.Context(), q); !errors.Is(err, ErrInput) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	if len(c.inbox) > 0 {
+		t.Errorf("%d inputs reached the module", len(c.inbox))
+	}
+}
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -30,7 +30,7 @@
 )
 
 // maxPart bounds the documents of one part.
-const maxPart = 1 << 20
+const maxPart = 256 << 10
 
 // PartTicket is what a data node is asked with.
 type PartTicket struct {
--- a/internal/flight/server.go
+++ b/internal/flight/server.go
@@ -14,6 +14,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow"
@@ -46,14 +47,16 @@
 // Server serves Flight clients.
 type Server struct {
 	flight.BaseFlightServer
-	core *core.Core
-	log  *slog.Logger
-	grpc *grpc.Server
+	core  *core.Core
+	log   *slog.Logger
+	grpc  *grpc.Server
+	held  atomic.Int64 // bytes of answers that are being read
+	limit int64        // of held
 }
 
-// NewServer returns a server in front of the core.
-func NewServer(c *core.Core, log *slog.Logger) *Server {
-	s := &Server{core: c, log: log, grpc: grpc.NewServer(grpc.MaxRecvMsgSize(ask.MaxBytes),
+// NewServer returns a server in front of the core. Answers that are being read may hold limit bytes in all.
+func NewServer(c *core.Core, log *slog.Logger, limit int64) *Server {
+	s := &Server{core: c, log: log, limit: limit, grpc: grpc.NewServer(grpc.MaxRecvMsgSize(ask.MaxBytes),
 		grpc.MaxConcurrentStreams(256), grpc.MaxHeaderListSize(16<<10))}
 	flight.RegisterFlightServiceServer(s.grpc, s)
 	return s
@@ -78,6 +81,16 @@
 	Retry bool
 }
 
+// GetFlightInfo leads a client that has a ticket as its command to DoGet on this connection.
+func (s *Server) GetFlightInfo(_ context.Context, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	if d.GetType() != flight.DescriptorCMD || len(d.GetCmd()) == 0 {
+		return nil, status.Error(codes.InvalidArgument, "the descriptor needs a ticket as its command")
+	}
+	return &flight.FlightInfo{Schema: flight.SerializeSchema(Schema, memory.DefaultAllocator), FlightDescriptor: d,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: d.GetCmd()}}}, TotalRecords: -1,
+		TotalBytes: -1}, nil
+}
+
 // DoGet is one query.
 func (s *Server) DoGet(t *flight.Ticket, stream flight.FlightService_DoGetServer) error {
 	ctx := stream.Context()
@@ -110,6 +123,17 @@
 	case answer.Verdict != core.Answered:
 		return status.Error(codes.Internal, "failed")
 	}
+	size := int64(0)
+	for _, h := range answer.Hits {
+		for _, doc := range h.Docs {
+			size += int64(len(doc))
+		}
+	}
+	defer s.held.Add(-size)
+	if s.held.Add(size) > s.limit {
+		s.log.Warn("answers that are being read hold all they may; refused", "bytes", size)
+		return refused(time.Until(end) / 2)
+	}
 	return s.answer(stream, answer)
 }
 
--- /dev/null
+++ b/internal/flight/server_test.go
@@ -0,0 +1,148 @@
+package flight
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+)
+
+// newClient starts a server whose one data node answers each part with n documents of size bytes.
+func newClient(t *testing.T, limit int64, n, size int) flight.Client {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	c, err := core.New(aggregator.Settings{Cells: 1, Shards: 4, Reach: 1, Tick: time.Millisecond,
+		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Need: 1, Floor: 1, Worth: 1}},
+	}, 1, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go c.Run(t.Context())
+	c.Fleet(func(node *core.Node) {
+		for o := node.Pick(t.Context()); o != nil; o = node.Pick(t.Context()) {
+			for _, a := range o.Call {
+				r := core.Result{Outcome: core.Served}
+				for range n {
+					r.Docs = append(r.Docs, make([]byte, size))
+				}
+				c.Report(a, r)
+			}
+		}
+	}).Replace([]core.Member{{ID: "n1"}}, false)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(c, log, limit)
+	go s.Serve(ln, 9)
+	t.Cleanup(s.Stop)
+	cc, err := grpc.NewClient("passthrough:///"+ln.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cc.Close() })
+	return flight.NewClientFromConn(cc, nil)
+}
+
+const ticket = `{"class":"report","shards":[{"shard":0,"weight":1}]}`
+
+// read asks and counts the batches and documents of the answer.
+func read(t *testing.T, client flight.Client, ctx context.Context, ticket string) (batches, docs int, err error) {
+	t.Helper()
+	stream, err := client.DoGet(ctx, &flight.Ticket{Ticket: []byte(ticket)})
+	if err != nil {
+		return 0, 0, err
+	}
+	in, err := flight.NewRecordReader(stream)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer in.Release()
+	for in.Next() {
+		batches, docs = batches+1, docs+int(in.RecordBatch().NumRows())
+		if got := string(in.LatestAppMetadata()); got != `{"complete":true}` {
+			t.Errorf("metadata %s", got)
+		}
+	}
+	if err := in.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return batches, docs, err
+	}
+	return batches, docs, nil
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(3*time.Second))
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestManyDocuments: a whole season in one part comes in batches of bounded size, each with its metadata.
+func TestManyDocuments(t *testing.T) {
+	batches, docs, err := read(t, newClient(t, 1<<20, 2500, 10), within(t), ticket)
+	if batches != 3 || docs != 2500 || err != nil {
+		t.Errorf("got %d batches, %d documents, %v", batches, docs, err)
+	}
+	batches, docs, err = read(t, newClient(t, 1<<20, 5, 100<<10), within(t), ticket)
+	if batches != 3 || docs != 5 || err != nil {
+		t.Errorf("large ones: got %d batches, %d documents, %v", batches, docs, err)
+	}
+}
+
+// TestAnswersHoldALimit: what readers hold all together is bounded; beyond it a query is refused, with a time to
+// come back.
+func TestAnswersHoldALimit(t *testing.T) {
+	_, _, err := read(t, newClient(t, 1000, 1, 1001), within(t), ticket)
+	st := status.Convert(err)
+	if st.Code() != codes.Unavailable || len(st.Details()) != 1 {
+		t.Fatalf("got %v", err)
+	}
+	if info, ok := st.Details()[0].(*errdetails.RetryInfo); !ok || info.RetryDelay.AsDuration() <= 0 {
+		t.Errorf("details %v", st.Details())
+	}
+}
+
+// TestBadTickets: what can't be understood is told so, as is a query without a deadline.
+func TestBadTickets(t *testing.T) {
+	client := newClient(t, 1<<20, 1, 1)
+	for _, text := range []string{"", "{", `{"class":"report"}`, `{"class":"report","shards":[{}]}`,
+		`{"class":"other","shards":[{"shard":0}]}`, `{"class":"report","shards":[{"shard":0,"cost":1e30}]}`} {
+		if _, _, err := read(t, client, within(t), text); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if _, _, err := read(t, client, t.Context(), ticket); status.Code(err) != codes.InvalidArgument {
+		t.Errorf("no deadline: %v", err)
+	}
+}
+
+// TestFlightInfo: the usual way of a Flight client, from a descriptor to an endpoint's ticket.
+func TestFlightInfo(t *testing.T) {
+	client := newClient(t, 1<<20, 1, 1)
+	info, err := client.GetFlightInfo(within(t), &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: []byte(ticket)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if schema, err := flight.DeserializeSchema(info.Schema, memory.DefaultAllocator); err != nil || !schema.Equal(Schema) {
+		t.Errorf("schema %v, %v", schema, err)
+	}
+	if _, docs, err := read(t, client, within(t), string(info.Endpoint[0].Ticket.Ticket)); docs != 1 || err != nil {
+		t.Errorf("by its ticket: %d documents, %v", docs, err)
+	}
+	if _, err := client.GetFlightInfo(within(t), &flight.FlightDescriptor{}); status.Code(err) != codes.InvalidArgument {
+		t.Errorf("no command: %v", err)
+	}
+}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -31,6 +31,8 @@
 	// than readTime to arrive, is closed.
 	restTime = 5 * time.Minute
 	readTime = 10 * time.Second
+	// After SIGTERM a new connection is given this long for its first request.
+	firstTime = time.Second
 )
 
 // Clients serves clients. Its fields are set before its first use.
@@ -51,7 +53,8 @@
 	nc    net.Conn
 	limit io.LimitedReader // bounds what one request may bring
 	in    *textproto.Reader
-	busy  bool // guarded by f.mu
+	busy  bool // guarded by f.mu, as is the next
+	used  bool // a request has come
 }
 
 // request is one that was read whole.
@@ -109,7 +112,7 @@
 	f.draining, f.closing = true, true
 	for c := range f.conns {
 		if !c.busy {
-			c.nc.SetReadDeadline(time.Now())
+			c.nc.SetReadDeadline(c.lastCall())
 		}
 	}
 }
@@ -183,14 +186,23 @@
 	return err
 }
 
+// lastCall is until when a connection between requests is kept while all are closed: one that is new has its
+// first request on the way. The caller holds the lock.
+func (c *client) lastCall() time.Time {
+	if c.used {
+		return time.Now()
+	}
+	return time.Now().Add(firstTime)
+}
+
 // rest notes that the connection is between requests, or no more.
 func (c *client) rest(idle bool) {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
-	c.busy = !idle
+	c.busy, c.used = !idle, c.used || !idle
 	switch {
 	case idle && c.f.closing:
-		c.nc.SetReadDeadline(time.Now())
+		c.nc.SetReadDeadline(c.lastCall())
 	case idle:
 		c.nc.SetReadDeadline(time.Now().Add(restTime))
 	}
@@ -285,7 +297,12 @@
 	}
 	switch answer.Verdict {
 	case core.Answered:
-		return c.write(end, 200, nil, answerBody(answer), req.close)
+		body := answerBody(answer)
+		if len(body) > maxBody {
+			c.f.Log.Error("answer too large for the protocol", "query", q.ID, "bytes", len(body))
+			return c.write(end, 500, nil, errorBody("answer too large"), req.close)
+		}
+		return c.write(end, 200, nil, body, req.close)
 	case core.Refused:
 		var extra []byte
 		if answer.After > 0 {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -23,7 +23,7 @@
 )
 
 // maxFrame is the longest frame that a data node may send.
-const maxFrame = 1 << 20
+const maxFrame = maxBody + 1<<10
 
 // Nodes carries orders to data nodes. Its fields are set before its first use.
 type Nodes struct {
