--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -98,6 +98,7 @@
 		if got := s.ask(t.Context(), "q", 0, 1, 2); got != "1 true 3 false" {
 			t.Errorf("got %s", got)
 		}
+		synctest.Wait()
 		if diff := cmp.Diff([]string{"call q.0 q.1", "call q.2"}, s.seen); diff != "" {
 			t.Errorf("(-want +got)\n%s", diff)
 		}
@@ -123,6 +124,7 @@
 			t.Errorf("got %s", got)
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		if diff := cmp.Diff([]string{"call q.0", "drop q.0", "call r.1", "drop r.1"}, s.seen); diff != "" {
 			t.Errorf("(-want +got)\n%s", diff)
 		}
@@ -181,6 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newStand(t, 0, serve)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		s.agg = nil // its next Step panics
 		if got := s.ask(t.Context(), "q", 0); got != "3 false 0 false" {
 			t.Errorf("held as it panicked: %s", got)
