Weigh stragglers half as much in the forecast, and chase a part later

At fault: straggling in policy.go held a heavy tail for each part though a query's parts are slow together, and patience called parts off at 1.5 high latencies, which loses the work done on them.

--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -27,7 +27,9 @@
 	quantileStep = 0.02  // least share by which a quantile follows a new value
 	admitLow     = 0.50  // share of the aim within which the least worthy query must be expected
 	admitHigh    = 1.00  // and the worthiest
-	straggling   = 1.5   // excesses of the fleet for each e-fold of parts: a tail heavier than exponential
+	straggling   = 0.75  // excesses of the fleet for each e-fold of parts: a query's parts are slow together
+	chaseHigh    = 2.0   // high latencies after which a part stands out
+	chaseMid     = 4.0   // and median latencies, whichever is later
 	secondTimes  = 2.5   // high latencies of a part that are left for a second step, whose slowest part decides
 	lastShare    = 0.125 // share of a query's parts: so few are worth a second copy on suspicion
 	lateLeast    = 0.25  // late worth under which a query ends at its aim
@@ -442,7 +444,7 @@
 	if s.high.n < 30 {
 		return aim / 2
 	}
-	return math.Min(math.Max(1.5*s.high.v, 3*s.mid.v), aim/2)
+	return math.Min(math.Max(chaseHigh*s.high.v, chaseMid*s.mid.v), aim/2)
 }
 
 // advance moves one query on and returns when it next needs attention.
--- a/aggregator/symptoms_test.go
+++ b/aggregator/symptoms_test.go
@@ -204,3 +204,25 @@
 		out = a.Step(now, []Event{ended(id+"/0", 0, OK)}, out[:0])
 	}
 }
+
+// TestPatience: a part is left alone until it stands out among its class, well past the latency that one in
+// twenty exceeds; chased sooner, parts that are only slow lose the work done on them and use up their tries.
+func TestPatience(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Aim, set.Classes[0].Deadline = 4*time.Second, 8*time.Second
+	b := newBench(t, set, members("a", "b", "c")...)
+	for i := range 60 {
+		id := fmt.Sprintf("warm%d", i)
+		b.step(asks(id, 6*time.Second, i%3)...)
+		b.now += 100 * ms
+		b.step(ended(id+"/0", 0, OK))
+	}
+	q := &query{}
+	if got := b.agg.patience(q); got < 0.35 || got > 0.6 {
+		t.Errorf("parts take 0.1 s and one is chased after %.2f s, want about four times as long", got)
+	}
+	b.agg.stat(q).high.v = 1.0
+	if got := b.agg.patience(q); got != 2.0 {
+		t.Errorf("one part in twenty takes 1 s and one is chased after %.2f s, want 2", got)
+	}
+}
