Join both fronts with both kinds of data node in the fault suite; small repairs

- No query is held past its class's limit, whatever deadline the client names (core.Ask).
- A watch that can't be opened is logged once an outage, not five times a second.
- HEAD is not answered with a body any more: it gets 405.
- Flight: channels go idle before the peer's limit; a race on a call's channel in drop is gone.
- A store of one member leads 0.1 s after its start instead of 1 to 2 s.

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -133,7 +133,7 @@
 	d := deploy.DNSSD
 	if d.Resolver != "" {
 		nodes := &flight.Nodes{Core: c, Log: log, Dial: dial, Streams: cfg.Streams,
-			Connect: cfg.Settings.Limits.ConnectTimeout, Slots: slots}
+			Connect: cfg.Settings.Limits.ConnectTimeout, Idle: cfg.Settings.Limits.ConnIdle, Slots: slots}
 		browser := &dnssd.Browser{Fleet: c.Fleet(nodes.Carry), Log: log, Resolver: d.Resolver, Service: d.Nodes,
 			Domain: d.Domain}
 		go browser.Run(ctx)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -255,6 +255,10 @@
 	if err := c.check(&asked); err != nil {
 		return Answer{}, err
 	}
+	// No client waits for longer than its class's limit, whatever it says.
+	if end := time.Now().Add(c.set.Classes[c.classes[asked.Class]].Deadline); asked.Deadline.After(end) {
+		asked.Deadline = end
+	}
 	q := &query{Query: asked, taken: time.Now(), reply: make(chan Answer, 1)}
 	size := 1 + len(asked.Parts)
 	c.mu.Lock()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -225,3 +225,21 @@
 		t.Errorf("%d inputs reached the module", len(c.inbox))
 	}
 }
+
+// TestClassLimitBindsDeadlines: a deadline past the class's limit does not hold a query for longer.
+func TestClassLimitBindsDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 0, func(s *stand, o *Order) {
+			if o.Drop != nil {
+				serve(s, o)
+			}
+		})
+		start := time.Now()
+		a, err := s.Ask(t.Context(), Query{ID: "q", Class: "report", Deadline: start.Add(time.Hour),
+			Parts: []Part{{Shard: 0, Weight: 1}}})
+		if err != nil || a.Verdict != Refused || time.Since(start) > 3*time.Second {
+			t.Errorf("got %+v, %v after %v", a, err, time.Since(start))
+		}
+		s.end()
+	})
+}
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -21,7 +21,7 @@
 	"gullfall/internal/core"
 )
 
-// protocol is one of the two: how a data node stands, how it is reached, and how a client asks.
+// protocol is one of the two, or a mix: how a data node stands, how it is reached, and how a client asks.
 type protocol struct {
 	name  string
 	stand func(ln net.Listener, b *book, name string) (stop func())
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -38,6 +38,9 @@
 var protocols = []protocol{
 	{"platform", standFrames, carryFrames, frontHTTP, slowHTTP, 15_000},
 	{"flight", standFlight, carryFlight, frontFlight, slowFlight, 200_000},
+	// The core joins either front with either kind of data node.
+	{"platform to flight", standFlight, carryFlight, frontHTTP, slowHTTP, 15_000},
+	{"flight to platform", standFrames, carryFrames, frontFlight, slowFlight, 60_000},
 }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -49,6 +49,7 @@
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Streams int           // parts that are out at one data node at once
 	Connect time.Duration // within which a channel comes up and a probe is answered
+	Idle    time.Duration // after which the peer closes an idle connection; 0 where not known
 	Slots   chan struct{} // one for each channel that may be open
 }
 
@@ -120,7 +121,7 @@
 		c.cancel()
 	}
 	p.mu.Unlock()
-	if c != nil && c.ch != nil {
+	if c != nil {
 		p.retire(func(ch *channel) bool { return ch == c.ch && !c.begun.IsZero() && ch.heard.Before(c.begun) })
 	}
 }
@@ -172,7 +173,7 @@
 		}
 		cc, err := grpc.NewClient("passthrough:///"+p.node.Addr(), grpc.WithDisableRetry(),
 			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(p.Dial),
-			grpc.WithNoProxy(), grpc.WithDisableServiceConfig())
+			grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(p.Idle-p.Idle/8))
 		if err != nil {
 			<-p.Slots
 			p.mu.Unlock()
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -272,7 +272,7 @@
 	end := time.Now().Add(readTime)
 	if req.method != "POST" {
 		switch {
-		case req.method != "GET" && req.method != "HEAD":
+		case req.method != "GET":
 			return c.write(end, 405, nil, errorBody("method not allowed"), req.close)
 		case req.path == "/up" || req.path == "/alive":
 			return c.write(end, 200, nil, []byte("{}"), req.close)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -38,6 +38,7 @@
 
 	version int64
 	listed  bool
+	away    bool                       // the last try failed, and was logged
 	entries map[string]json.RawMessage // by id
 }
 
@@ -105,7 +106,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.Log.Warn("watch on discovery ended; opening it anew", "version", w.version, "cause", err)
+		if !w.away {
+			w.Log.Warn("watch on discovery ended; opening it anew", "version", w.version, "cause", err)
+		}
+		w.away = true
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -143,6 +147,10 @@
 	if err != nil {
 		return err
 	}
+	if w.away {
+		w.Log.Info("watch on discovery is open again", "version", w.version)
+	}
+	w.away = false
 	var body io.Reader = in.R
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
 		body = &chunks{in: in}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,6 +80,9 @@
 	servers := []raft.Server{{ID: conf.LocalID, Address: raft.ServerAddress(name)}}
 	var transport raft.Transport
 	if cfg.Listen == "" {
+		// Nobody is to be waited for: one member leads soon after its start.
+		conf.HeartbeatTimeout, conf.ElectionTimeout = 100*time.Millisecond, 100*time.Millisecond
+		conf.LeaderLeaseTimeout = 100 * time.Millisecond
 		_, transport = raft.NewInmemTransport(raft.ServerAddress(name))
 	} else {
 		tcp, err := raft.NewTCPTransportWithLogger(cfg.Listen, nil, 2, time.Second, conf.Logger)
