Let no further attempt overtake the give-up of the one before

Saw: under load the fault suite counted one attempt that began while another of its part was out, and three queries still held after their answer. Checked: the first was partly the stand-in's account (the cut was noted after the close), but the core too could send a part again within microseconds of the X frame, on another connection, when its last tick was over 5 ms ago; the frames could cross. At fault: Report in core.go. The end of an attempt that the data node learns from us (given up, or its connection closed) is now taken in a tick later; TestFurtherAttemptWaits fails without it (0 s). The second: end freed the count after the answer; it does so before now. TestMaxOpen no longer depends on the order of goroutines.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -154,6 +154,7 @@
 	attempt *Attempt
 	docs    [][]byte
 	ask     *query
+	due     time.Time // not taken in before
 }
 
 // Core is the facade. Its methods may be called from any goroutine, but for Run.
@@ -178,6 +179,7 @@
 	parts    map[string]*part
 	attempts map[*Attempt]bool
 	actions  []aggregator.Action
+	held     []input // not due yet
 	wake     time.Time
 	last     time.Time
 }
@@ -305,9 +307,15 @@
 	NotConnected: aggregator.ConnectFailed, Reset: aggregator.Reset, Dropped: aggregator.TimedOut,
 }
 
-// Report tells how an attempt ended; only the first report of an attempt counts.
+// Report tells how an attempt ended; only the first report of an attempt counts. The end of one that the data
+// node learns from us, by a give-up or by a connection that we closed, is taken in a tick later: what tells of it
+// is on its way until then, and a further attempt must not overtake it on another connection.
 func (c *Core) Report(a *Attempt, r Result) {
-	c.put(input{attempt: a, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
+	var due time.Time
+	if r.Outcome == Dropped || r.Outcome == Reset {
+		due = time.Now().Add(c.set.Tick)
+	}
+	c.put(input{attempt: a, due: due, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
 		Attempt: a.number, Replica: a.node.id, Outcome: outcomes[r.Outcome], Report: r.Load}})
 }
 
@@ -341,12 +349,14 @@
 func (c *Core) Tick(now time.Time) (next time.Time) {
 	c.last = now
 	c.mu.Lock()
-	inbox := c.inbox
-	c.inbox = nil
+	inbox := append(c.held, c.inbox...)
+	c.held, c.inbox = nil, nil
 	c.mu.Unlock()
 	var events []aggregator.Event
 	for i := range inbox {
-		if c.accept(&inbox[i], now) {
+		if inbox[i].due.After(now) {
+			c.held = append(c.held, inbox[i])
+		} else if c.accept(&inbox[i], now) {
 			events = append(events, inbox[i].event)
 		}
 	}
@@ -376,6 +386,11 @@
 	if !c.wake.IsZero() && c.wake.Before(next) {
 		next = c.wake
 	}
+	for i := range c.held {
+		if c.held[i].due.Before(next) {
+			next = c.held[i].due
+		}
+	}
 	for _, q := range c.queries {
 		if q.Deadline.Before(next) {
 			next = q.Deadline
@@ -547,8 +562,8 @@
 	}
 	q.over = true
 	delete(c.queries, q.ID)
+	c.free(q) // first: whoever has the answer finds nothing held
 	q.reply <- answer
-	c.free(q)
 	for _, p := range q.parts {
 		c.forget(p)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -138,20 +138,20 @@
 // TestMaxOpen: with as much open as the settings allow, a query is refused at once, with a time to come back.
 func TestMaxOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStand(t, 6, func(s *stand, o *Order) {
-			if o.Drop != nil {
-				serve(s, o)
-			}
-		})
-		for i := range 3 {
-			go s.ask(t.Context(), fmt.Sprint("q", i), 0)
-		}
-		synctest.Wait()
+		s := newStand(t, 6, serve)
+		s.Core.mu.Lock()
+		s.pending += 6
+		s.Core.mu.Unlock()
 		start := time.Now()
-		if got := s.ask(t.Context(), "r", 0); got != "2 false 0 true" || time.Since(start) > 0 {
-			t.Errorf("got %s after %v", got, time.Since(start))
+		if got := s.ask(t.Context(), "q", 0); got != "2 false 0 true" || time.Since(start) > 0 {
+			t.Errorf("full: got %s after %v", got, time.Since(start))
+		}
+		s.Core.mu.Lock()
+		s.pending -= 6
+		s.Core.mu.Unlock()
+		if got := s.ask(t.Context(), "q", 0); got != "1 true 1 false" {
+			t.Errorf("with room again: got %s", got)
 		}
-		time.Sleep(5 * time.Second)
 		s.end()
 	})
 }
@@ -243,3 +243,33 @@
 		s.end()
 	})
 }
+
+// TestFurtherAttemptWaits: after a give-up or a reset the next attempt of a part goes out no sooner than a tick
+// later, so that it can't overtake what tells the data node, or its machine, of the end of the one before.
+func TestFurtherAttemptWaits(t *testing.T) {
+	for _, end := range []Outcome{Dropped, Reset, Errored} {
+		synctest.Test(t, func(t *testing.T) {
+			var ended, again time.Time
+			s := newStand(t, 0, func(s *stand, o *Order) {
+				switch {
+				case o.Call != nil && ended.IsZero():
+					time.Sleep(100 * time.Millisecond) // long after the last tick
+					ended = time.Now()
+					s.Report(o.Call[0], Result{Outcome: end})
+				case o.Call != nil && again.IsZero():
+					again = time.Now()
+					serve(s, o)
+				default:
+					serve(s, o)
+				}
+			})
+			if got := s.ask(t.Context(), "q", 0); got != "1 true 1 false" {
+				t.Errorf("got %s", got)
+			}
+			if wait := again.Sub(ended); end != Errored && wait < s.set.Tick {
+				t.Errorf("outcome %d: the next attempt went out after %v", end, wait)
+			}
+			s.end()
+		})
+	}
+}
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -42,41 +43,57 @@
 
 	mu      sync.Mutex
 	tries   map[string]int
-	out     map[string]int
+	out     map[int]attempt // by a number of its own
+	begun   int
 	twins   int
 	givenUp int
 	starts  map[string]int // by data node
 	release chan struct{}  // lets go of attempts that are held
 }
 
-// start notes an attempt and returns what is to be done to it.
-func (b *book) start(node, id string) string {
+// attempt is one that is out at a data node.
+type attempt struct{ node, id string }
+
+// start notes an attempt and returns its number and what is to be done to it.
+func (b *book) start(node, id string) (number int, act string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := b.tries[id]
 	b.tries[id]++
 	b.starts[node]++
-	if b.out[id]++; b.out[id] > 1 {
-		b.twins++
+	for _, a := range b.out {
+		if a.id == id {
+			b.twins++
+		}
 	}
-	act := b.acts[min(n, len(b.acts)-1)]
+	b.begun++
+	b.out[b.begun] = attempt{node, id}
+	act = b.acts[min(n, len(b.acts)-1)]
 	if shard, rest, ok := strings.Cut(act, ":"); ok { // an act for one shard only
 		if act = "ok"; strings.HasSuffix(id, "."+shard) {
 			act = rest
 		}
 	}
-	return act
+	return b.begun, act
 }
 
-func (b *book) end(id string, givenUp bool) {
+// end notes that an attempt is over. It comes before the coordinator can know.
+func (b *book) end(number int, givenUp bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.out[id]--
+	delete(b.out, number)
 	if givenUp {
 		b.givenUp++
 	}
 }
 
+// cut notes that all that is out at a data node ends with its connections.
+func (b *book) cut(node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.out, func(_ int, a attempt) bool { return a.node == node })
+}
+
 func (b *book) at(node string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,7 +137,7 @@
 
 func newRig(t *testing.T, p protocol, down int, acts ...string) *rig {
 	t.Helper()
-	b := &book{acts: acts, tries: map[string]int{}, out: map[string]int{}, starts: map[string]int{},
+	b := &book{acts: acts, tries: map[string]int{}, out: map[int]attempt{}, starts: map[string]int{},
 		release: make(chan struct{})}
 	c, err := core.New(settings(), 7, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -106,13 +106,13 @@
 
 func serveFrames(nc net.Conn, l *conns, b *book, name string) {
 	var mu sync.Mutex
-	out := map[string]bool{}
+	out := map[string]int{}
 	settle := func(id string, givenUp bool) bool {
 		mu.Lock()
 		defer mu.Unlock()
-		was := out[id]
+		number, was := out[id]
 		if delete(out, id); was {
-			b.end(id, givenUp)
+			b.end(number, givenUp)
 		}
 		return was
 	}
@@ -154,10 +154,10 @@
 			n, _ := strconv.Atoi(words[3])
 			id := words[0]
 			rest = after[n:]
+			number, act := b.start(name, id)
 			mu.Lock()
-			out[id] = true
+			out[id] = number
 			mu.Unlock()
-			act := b.start(name, id)
 			answer := func(end, value string) {
 				if settle(id, false) {
 					write(id, end, value)
@@ -174,6 +174,7 @@
 				time.AfterFunc(cutAfter, func() {
 					frame := binary.LittleEndian.AppendUint32(nil, 1000)
 					nc.Write(fmt.Appendf(frame, "A%s ok 1 -\nhalf", id))
+					b.cut(name)
 					l.cut()
 				})
 			}
@@ -202,9 +203,9 @@
 	if err := json.Unmarshal(t.Ticket, &ticket); err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	act := s.b.start(s.name, ticket.ID)
+	number, act := s.b.start(s.name, ticket.ID)
 	givenUp := false
-	defer func() { s.b.end(ticket.ID, givenUp) }()
+	defer func() { s.b.end(number, givenUp) }()
 	b := array.NewRecordBuilder(memory.DefaultAllocator, flight.Schema)
 	send := func(doc string) error {
 		b.Field(0).(*array.Int32Builder).Append(int32(ticket.Shard))
@@ -223,6 +224,7 @@
 	case "cut":
 		send("half")
 		time.Sleep(cutAfter)
+		s.b.cut(s.name)
 		s.l.cut()
 		<-stream.Context().Done()
 		return stream.Context().Err()
