End a drain though a client reads slowly and named a long deadline

Found by reading: after SIGTERM the program waited for each connection to close; a Flight reader with a deadline of an hour, or a request that never came whole, would have kept it. It now ends 15 s after the longest class limit at the latest, when every query has long had its answer. TestDrainEnds guards it.

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -29,6 +29,9 @@
 const (
 	restUntil   = 500 * time.Millisecond
 	listenUntil = 900 * time.Millisecond
+	// By the longest limit of a class and this much more every query has its answer; whoever still reads one then
+	// is not waited for.
+	readUntil = 15 * time.Second
 )
 
 // flightService is the type of our own Flight service.
@@ -117,7 +120,12 @@
 	case s := <-signals:
 		log.Info("draining", "signal", s)
 	}
-	return drain(c, clients, second, ln, signals, log)
+	longest := time.Duration(0)
+	for _, class := range cfg.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	drain(c, clients, second, ln, signals, time.Now().Add(longest+readUntil), log)
+	return nil
 }
 
 // startFlight starts the second front, and browses for its data nodes where a resolver is named.
@@ -154,9 +162,9 @@
 	return server, nil
 }
 
-// drain goes on serving while clients still come, then answers what is open and returns.
+// drain goes on serving while clients still come, then answers what is open and returns, at end at the latest.
 func drain(c *core.Core, clients *platform.Clients, second *flight.Server, ln net.Listener,
-	signals <-chan os.Signal, log *slog.Logger) error {
+	signals <-chan os.Signal, end time.Time, log *slog.Logger) {
 	clients.Drain()
 	time.Sleep(restUntil)
 	clients.CloseIdle()
@@ -172,8 +180,9 @@
 	select {
 	case <-done:
 		log.Info("drained")
+	case <-time.After(time.Until(end)):
+		log.Warn("ended while clients still read their answers", "open", c.Open())
 	case <-signals:
 		log.Warn("ended by a second signal", "open", c.Open())
 	}
-	return nil
 }
--- a/cmd/gullfall/main_test.go
+++ b/cmd/gullfall/main_test.go
@@ -19,6 +19,10 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+	"gullfall/internal/platform"
 )
 
 const settings = `{"TickS":0.005,"Az":"a","Balancers":1,"Discovery":"automatic",
@@ -125,3 +129,30 @@
 		}
 	}
 }
+
+// TestDrainEnds: a client that is slow with its request or its answer does not keep the program from ending.
+func TestDrainEnds(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	c, err := core.New(aggregator.Settings{Cells: 1, Shards: 1, Reach: 1,
+		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: time.Second}}}, 1, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := &platform.Clients{Core: c, Log: log, Slots: make(chan struct{}, 9)}
+	go clients.Serve(ln)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, "POST /report HTTP/1.1\r\n") // and no more
+	start := time.Now()
+	drain(c, clients, nil, ln, nil, start.Add(listenUntil+300*time.Millisecond), log)
+	if took := time.Since(start); took < listenUntil || took > 5*time.Second {
+		t.Errorf("the drain took %v", took)
+	}
+}
