Give a new client the place of an idle connection instead of not accepting it

Logs show no refusals for want of data nodes, CPU at 0.11 of 0.25 cores. Checked: Serve in platform/clients.go took a slot before Accept and kept it until the connection ended, up to 5 minutes for one at rest (restTime) and for one that said nothing. Idlers held all slots. Ruled out: the module (what reached it was served), memory (9 MB), data nodes. Now: each connection has a phase, and enter alone decides which goes when all places are taken. First requests must be whole 2 s after connecting. After an error the connection is half closed and lingers 0.5 s, so that no reset discards the error. Bodies on their way are held within a sixteenth of the memory. Lengths that stand twice, an empty length beside a coding, and repeated Req- headers are errors. Conclusion: it was the accept loop. Tests: three scenarios and TestErrorReachesSender.

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -103,7 +103,13 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	clients := &platform.Clients{Core: c, Log: log, Slots: make(chan struct{}, cfg.Limits.Sockets/2)}
+	// Descriptors: a quarter for data nodes, an eighth for Flight where it is on and one for all else; clients have
+	// the rest, well over the third that those with a request out may hold.
+	most := cfg.Limits.Sockets * 5 / 8
+	if deploy.Flight.Listen != "" {
+		most -= cfg.Limits.Sockets / 8
+	}
+	clients := &platform.Clients{Core: c, Log: log, Most: most, Hold: int64(cfg.Limits.MemoryMB) << 20 / 16}
 	served := make(chan error, 2)
 	go func() { served <- clients.Serve(ln) }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
--- a/cmd/gullfall/main_test.go
+++ b/cmd/gullfall/main_test.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clients := &platform.Clients{Core: c, Log: log, Slots: make(chan struct{}, 9)}
+	clients := &platform.Clients{Core: c, Log: log, Most: 9, Hold: 1 << 20}
 	go clients.Serve(ln)
 	nc, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -238,7 +238,7 @@
 
 // frontHTTP is the platform's front and its client.
 func frontHTTP(c *core.Core, ln net.Listener) (asker, func()) {
-	clients := &platform.Clients{Core: c, Log: quiet, Slots: make(chan struct{}, 64)}
+	clients := &platform.Clients{Core: c, Log: quiet, Most: 64, Hold: 1 << 20}
 	go clients.Serve(ln)
 	ids := ids()
 	ask := func(ctx context.Context, class, owner string, shards ...int) string {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -12,9 +12,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,22 +27,46 @@
 const (
 	maxBody   = ask.MaxBytes
 	maxHeader = 16 << 10
-	// Clients keep connections open; one without a request for restTime, or with a request that takes longer
-	// than readTime to arrive, is closed.
-	restTime = 5 * time.Minute
-	readTime = 10 * time.Second
-	// After SIGTERM a new connection is given this long for its first request.
-	firstTime = time.Second
+	// A connection must have brought its first request whole within firstTime, and each further one within
+	// readTime of its first byte. One that rests for longer than restTime is closed; a client that comes back
+	// opens another.
+	firstTime = 2 * time.Second
+	readTime  = 2 * time.Second
+	restTime  = 30 * time.Second
+	// Within writeTime an error is written. Its client is given lingerTime to read it: a close while more comes in
+	// would discard it.
+	writeTime  = time.Second
+	lingerTime = 500 * time.Millisecond
+	// While all idle connections are closed, a new one is given this long for its first request.
+	lastTime = time.Second
 )
 
+// phase is what a connection is about. Connections are closed to make room in the order of their phases.
+type phase int
+
+const (
+	leaving phase = iota // it has its error; what else it sends is not used
+	silent               // new, and nothing has come
+	coming               // a request has begun
+	resting              // between requests
+	asking               // a request is out
+)
+
+// spared is how long a connection is left in a phase before it may be closed to make room for another. One that
+// has a request out is never closed.
+var spared = map[phase]time.Duration{leaving: 100 * time.Millisecond, silent: 250 * time.Millisecond,
+	coming: time.Second, resting: 2 * time.Second}
+
 // Clients serves clients. Its fields are set before its first use.
 type Clients struct {
-	Core  *core.Core
-	Log   *slog.Logger
-	Slots chan struct{} // one for each connection that may be open
+	Core *core.Core
+	Log  *slog.Logger
+	Most int   // connections that may be open
+	Hold int64 // bytes of bodies that may be held while their requests come in
 
 	mu       sync.Mutex
 	conns    map[*client]bool
+	held     int64
 	draining bool // answers close their connections
 	closing  bool // so does being between requests
 	wg       sync.WaitGroup
@@ -53,8 +77,9 @@
 	nc    net.Conn
 	limit io.LimitedReader // bounds what one request may bring
 	in    *textproto.Reader
-	busy  bool // guarded by f.mu, as is the next
-	used  bool // a request has come
+	phase phase     // guarded by f.mu, as are the next two
+	since time.Time // when the phase began
+	used  bool      // a request has come
 }
 
 // request is one that was read whole.
@@ -80,10 +105,8 @@
 // Serve accepts connections until the listener is closed.
 func (f *Clients) Serve(ln net.Listener) error {
 	for {
-		f.Slots <- struct{}{}
 		nc, err := ln.Accept()
 		if err != nil {
-			<-f.Slots
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -91,10 +114,55 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		f.wg.Go(func() {
-			defer func() { <-f.Slots }()
-			f.ServeConn(nc)
-		})
+		c := f.enter(nc)
+		f.wg.Go(c.run)
+	}
+}
+
+// ServeConn serves one connection until it ends.
+func (f *Clients) ServeConn(nc net.Conn) { f.enter(nc).run() }
+
+// enter gives a connection its place, and is the one place that decides which other must go for it: of those in
+// the earliest phase the one that has been in it for longest. Where none may go yet, it waits; at most as many
+// requests are out as the core holds, so that others soon may.
+func (f *Clients) enter(nc net.Conn) *client {
+	c := &client{f: f, nc: nc, phase: silent}
+	c.limit = io.LimitedReader{R: nc}
+	c.in = textproto.NewReader(bufio.NewReader(&c.limit))
+	for {
+		f.mu.Lock()
+		if f.conns == nil {
+			f.conns = map[*client]bool{}
+		}
+		if len(f.conns) >= f.Most {
+			f.evict()
+		}
+		if len(f.conns) < f.Most {
+			c.since = time.Now()
+			f.conns[c] = true
+			f.mu.Unlock()
+			return c
+		}
+		f.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// evict closes the connection that must go first, if one may go. The caller holds the lock.
+func (f *Clients) evict() {
+	var first *client
+	now := time.Now()
+	for c := range f.conns {
+		if c.phase == asking || now.Sub(c.since) < spared[c.phase] {
+			continue
+		}
+		if first == nil || c.phase < first.phase || c.phase == first.phase && c.since.Before(first.since) {
+			first = c
+		}
+	}
+	if first != nil {
+		delete(f.conns, first)
+		first.nc.Close()
 	}
 }
 
@@ -111,7 +179,7 @@
 	defer f.mu.Unlock()
 	f.draining, f.closing = true, true
 	for c := range f.conns {
-		if !c.busy {
+		if c.phase == silent || c.phase == resting {
 			c.nc.SetReadDeadline(c.lastCall())
 		}
 	}
@@ -120,70 +188,71 @@
 // Wait returns once all connections are closed.
 func (f *Clients) Wait() { f.wg.Wait() }
 
-// ServeConn serves one connection until it ends.
-func (f *Clients) ServeConn(nc net.Conn) {
-	c := &client{f: f, nc: nc}
-	c.limit = io.LimitedReader{R: nc}
-	c.in = textproto.NewReader(bufio.NewReader(&c.limit))
-	f.mu.Lock()
-	if f.conns == nil {
-		f.conns = map[*client]bool{}
-	}
-	f.conns[c] = true
-	f.mu.Unlock()
+// run serves the connection until it ends.
+func (c *client) run() {
 	defer func() {
-		nc.Close()
-		f.mu.Lock()
-		delete(f.conns, c)
-		f.mu.Unlock()
+		c.nc.Close()
+		c.f.mu.Lock()
+		delete(c.f.conns, c)
+		c.f.mu.Unlock()
 	}()
-	first := make(chan error, 1)
-	c.limit.N = maxHeader + maxBody
-	go c.await(first, true)
-	for {
-		if <-first != nil {
+	end := time.Now().Add(firstTime)
+	c.nc.SetReadDeadline(end)
+	c.turn(silent)
+	for c.limit.N = maxHeader; ; c.limit.N = maxHeader {
+		if _, err := c.in.R.Peek(1); err != nil {
 			return
 		}
-		c.rest(false)
-		nc.SetReadDeadline(time.Now().Add(readTime))
+		c.turn(coming)
+		if now := time.Now(); c.used || end.Before(now) {
+			end = now.Add(readTime)
+		}
+		c.nc.SetReadDeadline(end)
 		req, err := c.read()
-		nc.SetReadDeadline(time.Time{})
 		var re *refusal
 		if errors.As(err, &re) {
-			c.write(time.Now().Add(readTime), re.status, nil, errorBody(re.text), true)
+			c.write(time.Now().Add(writeTime), re.status, nil, errorBody(re.text), true)
+			c.linger()
 			return
 		}
 		if err != nil {
 			return
 		}
+		c.nc.SetReadDeadline(time.Time{})
+		c.turn(asking)
 		// What comes next is awaited while the query is out: the end of the connection is the client leaving.
 		ctx, cancel := context.WithCancel(context.Background())
-		c.limit.N = maxHeader + maxBody
+		next := make(chan error, 1)
 		go func() {
-			err := c.await(first, false)
+			c.limit.N = maxHeader
+			_, err := c.in.R.Peek(1)
 			if err != nil {
 				cancel()
 			}
+			next <- err
 		}()
 		ok := c.serve(ctx, req)
 		cancel()
 		if !ok {
-			nc.Close()
-			<-first
+			c.nc.Close()
+		}
+		c.nc.SetReadDeadline(time.Now())
+		if err := <-next; !ok || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
-		c.rest(true)
+		c.nc.SetReadDeadline(time.Now().Add(restTime))
+		c.turn(resting)
 	}
 }
 
-// await waits for the first byte of a request, or the end of the connection, and passes on which it was.
-func (c *client) await(first chan<- error, fresh bool) error {
-	if fresh {
-		c.rest(true)
+// turn notes that a phase begins.
+func (c *client) turn(p phase) {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	c.phase, c.since, c.used = p, time.Now(), c.used || p == asking
+	if c.f.closing && (p == silent || p == resting) {
+		c.nc.SetReadDeadline(c.lastCall())
 	}
-	_, err := c.in.R.Peek(1)
-	first <- err
-	return err
 }
 
 // lastCall is until when a connection between requests is kept while all are closed: one that is new has its
@@ -192,22 +261,39 @@
 	if c.used {
 		return time.Now()
 	}
-	return time.Now().Add(firstTime)
+	return time.Now().Add(lastTime)
 }
 
-// rest notes that the connection is between requests, or no more.
-func (c *client) rest(idle bool) {
-	c.f.mu.Lock()
-	defer c.f.mu.Unlock()
-	c.busy, c.used = !idle, c.used || !idle
-	switch {
-	case idle && c.f.closing:
-		c.nc.SetReadDeadline(c.lastCall())
-	case idle:
-		c.nc.SetReadDeadline(time.Now().Add(restTime))
+// linger lets a client that may still be sending read its error. What it sends is discarded, and no more of it is
+// taken in than it takes to see the connection's end.
+func (c *client) linger() {
+	c.turn(leaving)
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	end := time.Now().Add(lingerTime)
+	c.nc.SetReadDeadline(end)
+	for time.Now().Before(end) {
+		c.limit.N = maxHeader
+		if _, err := c.in.R.Discard(maxHeader); err != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// reserve books the memory that a body may take, and tells whether there is room for it.
+func (f *Clients) reserve(n int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n > 0 && f.held+n > f.Hold {
+		return false
+	}
+	f.held += n
+	return true
+}
+
 // read takes in one request.
 func (c *client) read() (*request, error) {
 	line, err := c.in.ReadLine()
@@ -215,36 +301,53 @@
 		return nil, c.cut(err)
 	}
 	words := strings.Split(line, " ")
-	if len(words) != 3 || !strings.HasPrefix(words[2], "HTTP/1.") || !strings.HasPrefix(words[1], "/") {
+	if len(words) != 3 || words[2] != "HTTP/1.1" && words[2] != "HTTP/1.0" || !strings.HasPrefix(words[1], "/") {
 		return nil, bad(400, "request line %.100q", line)
 	}
 	header, err := c.in.ReadMIMEHeader()
 	if err != nil {
 		return nil, c.cut(err)
 	}
+	for _, key := range []string{"Content-Length", "Transfer-Encoding", "Req-Id", "Req-Owner", "Req-Deadline-Ms"} {
+		if len(header[key]) > 1 {
+			return nil, bad(400, "%s stands twice", key)
+		}
+	}
 	path, _, _ := strings.Cut(words[1], "?")
 	req := &request{method: words[0], path: path, header: header,
 		close: words[2] == "HTTP/1.0" || strings.EqualFold(header.Get("Connection"), "close")}
-	if strings.EqualFold(header.Get("Expect"), "100-continue") {
-		c.nc.SetWriteDeadline(time.Now().Add(readTime))
-		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
-	}
-	coding, length := header.Get("Transfer-Encoding"), header.Get("Content-Length")
+	// A request with a length and a coding may hide another in its body: nothing after the head is read.
+	size := int64(0)
+	coding, coded := header["Transfer-Encoding"]
+	length, sized := header["Content-Length"]
 	switch {
-	case coding != "" && (length != "" || !strings.EqualFold(coding, "chunked")):
+	case coded && (sized || !strings.EqualFold(coding[0], "chunked")):
 		return nil, bad(400, "framing of the body")
-	case coding != "":
-		req.body, err = io.ReadAll(io.LimitReader(&chunks{in: c.in}, maxBody+1))
-	case length != "":
-		n, bogus := strconv.ParseUint(length, 10, 63)
-		if bogus != nil || len(header["Content-Length"]) > 1 {
-			return nil, bad(400, "Content-Length %.40q", length)
+	case coded:
+		size = maxBody
+	case sized:
+		n, bogus := strconv.ParseUint(length[0], 10, 63)
+		if bogus != nil {
+			return nil, bad(400, "Content-Length %.40q", length[0])
 		}
 		if n > maxBody {
 			return nil, bad(413, "body of %d bytes; %d are allowed", n, maxBody)
 		}
-		req.body = make([]byte, n)
-		_, err = io.ReadFull(c.in.R, req.body)
+		size = int64(n)
+	}
+	if !c.f.reserve(size) {
+		return nil, bad(503, "too many bodies are on their way")
+	}
+	defer c.f.reserve(-size)
+	if strings.EqualFold(header.Get("Expect"), "100-continue") {
+		c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	c.limit.N = maxBody + maxHeader // the chunks' own lines included
+	if coded {
+		req.body, err = io.ReadAll(io.LimitReader(&chunks{in: c.in}, maxBody+1))
+	} else if req.body, err = io.ReadAll(io.LimitReader(c.in.R, size)); err == nil && int64(len(req.body)) < size {
+		err = io.ErrUnexpectedEOF
 	}
 	if len(req.body) > maxBody {
 		return nil, bad(413, "body over %d bytes", maxBody)
@@ -255,12 +358,14 @@
 	return req, nil
 }
 
-// cut tells a request that is too large or malformed from a connection that ended.
+// cut tells a request that is too large, too slow or malformed from a connection that ended.
 func (c *client) cut(err error) error {
 	var ne net.Error
 	switch {
 	case c.limit.N <= 0:
 		return bad(431, "request too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bad(408, "request did not come whole in time")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne), errors.Is(err, io.ErrClosedPipe):
 		return err
 	}
@@ -269,7 +374,7 @@
 
 // serve answers one request and tells whether the connection goes on.
 func (c *client) serve(ctx context.Context, req *request) bool {
-	end := time.Now().Add(readTime)
+	end := time.Now().Add(writeTime)
 	if req.method != "POST" {
 		switch {
 		case req.method != "GET":
@@ -291,7 +396,7 @@
 	case errors.As(err, &re):
 		return c.write(end, re.status, nil, errorBody(re.text), req.close)
 	case errors.Is(err, core.ErrInput):
-		return c.write(time.Now().Add(readTime), 400, nil, errorBody(err.Error()), req.close)
+		return c.write(time.Now().Add(writeTime), 400, nil, errorBody(err.Error()), req.close)
 	default:
 		return false // the client is gone
 	}
@@ -318,8 +423,8 @@
 	now := time.Now()
 	h := req.header
 	class, _, _ := strings.Cut(strings.TrimPrefix(req.path, "/"), "/")
-	ms, err := strconv.ParseInt(h.Get("Req-Deadline-Ms"), 10, 64)
-	if err != nil || ms <= 0 || ms > int64(math.MaxInt32) {
+	ms, err := strconv.ParseUint(h.Get("Req-Deadline-Ms"), 10, 31)
+	if err != nil || ms == 0 {
 		return core.Query{}, bad(400, "Req-Deadline-Ms %.40q", h.Get("Req-Deadline-Ms"))
 	}
 	q := core.Query{ID: h.Get("Req-Id"), Class: class, Owner: h.Get("Req-Owner"), Retry: h.Get("Req-Retry") == "1",
@@ -354,7 +459,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	503: "Service Unavailable"}
 
 // write sends an answer before end and tells whether the connection goes on.
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -90,6 +90,82 @@
 		c4 send long
 		c4 expect 431 close
 		n1 expect -`},
+	// Guards the rules on duplicates and lost requests: what could be read in two ways is not passed on.
+	{"ambiguous framing and names", "n1", `
+		c1 send raw "POST /report HTTP/1.1\r\nContent-Length: \r\nTransfer-Encoding: chunked\r\n\r\n"
+		c1 expect 400 close
+		c2 send raw "POST /report HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n{}"
+		c2 expect 400 close
+		c3 send raw "POST /report HTTP/1.1\r\nContent-Length: 2\r\nReq-Id: a\r\nReq-Id: b\r\n\r\n{}"
+		c3 expect 400 close
+		c4 send raw "POST /report HTTP/1.9\r\nContent-Length: 2\r\n\r\n{}"
+		c4 expect 400 close
+		c5 send raw "POST /report HTTP/1.1\r\nContent-Length: -1\r\n\r\n"
+		c5 expect 400 close
+		c6 send query q1 +900 0
+		c6 expect 400
+		n1 expect -`},
+	// Guards the 3 s that a bad client is owed: silence and half a request are ended within 2 s of connecting, however
+	// slowly more comes; on a connection in use each request has 2 s of its own.
+	{"clients that say nothing, or half", "n1", `
+		c1 send raw ""
+		c2 send raw "POST /report HT"
+		c3 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c3 expect 200
+		wait 1500ms
+		c2 send raw "TP/1.1\r\n"
+		c3 send raw "GET /up HTTP/1.1\r\n"
+		c1 expect -
+		wait 490ms
+		c2 expect -
+		wait 20ms
+		c1 expect end
+		c2 expect 408 close
+		c2 expect end
+		wait 1400ms
+		c3 expect -
+		wait 100ms
+		c3 expect 408 close`},
+	// Guards usual clients: nine connections may be open; the silent go first, then those that rest.
+	{"idle connections make room for others", "n1", `
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200
+		wait 10ms
+		c2 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c2 expect 200
+		wait 1900ms
+		c3 send query q1 2000 0
+		n1 expect Q q1.0
+		c4 send raw ""
+		wait 1ms
+		c5 send raw ""
+		c6 send raw ""
+		c7 send raw ""
+		c8 send raw ""
+		c9 send raw ""
+		c10 send query q2 2000 0
+		wait 100ms
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c10 expect 200
+		c1 expect end
+		c2 expect -
+		c11 send query q3 2000 0
+		wait 30ms
+		n1 expect Q q3.0
+		n1 send A q3.0 ok v
+		c11 expect 200
+		c2 expect end
+		n1 send A q1.0 ok v
+		c3 expect 200
+		c4 expect -
+		c12 send query q4 2000 0
+		wait 300ms
+		n1 expect Q q4.0
+		n1 send A q4.0 ok v
+		c12 expect 200
+		c4 expect end
+		c5 expect -`},
 	{"a body in chunks", "n1", `
 		c1 send raw "POST /report HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: club\r\nReq-Deadline-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n"
 		c1 send raw "e;x=1\r\n{\"shards\":[{\"s\r\n20\r\nhard\":0,\"weight\":1}],\"q\":\"text\"}\r\n0\r\nTrailer: 1\r\n\r\n"
@@ -279,7 +355,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	w := &world{t: t, actors: map[string]*actor{}, ended: ctx,
-		clients: &Clients{Core: c, Log: log, Slots: make(chan struct{}, 9)}}
+		clients: &Clients{Core: c, Log: log, Most: 9, Hold: 1 << 20}}
 	go c.Run(ctx)
 	carrier := &Nodes{Core: c, Log: log, Dial: w.dial, Streams: 32, Connect: set.Limits.ConnectTimeout,
 		Idle: set.Limits.ConnIdle, Slots: make(chan struct{}, 9)}
@@ -557,3 +633,43 @@
 		}
 	}
 }
+
+// TestErrorReachesSender: a client that is still sending its 60 MB reads its error, not a reset, and little of what
+// it sends is taken in.
+func TestErrorReachesSender(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	clients := &Clients{Log: slog.New(slog.DiscardHandler), Most: 9, Hold: 1 << 20}
+	go clients.Serve(ln)
+	for range 20 {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent := make(chan int64)
+		go func() {
+			n, _ := io.Copy(nc, io.MultiReader(strings.NewReader("POST /report HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"),
+				io.LimitReader(zeros{}, 60_000_000)))
+			sent <- n
+		}()
+		nc.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if answer, err := io.ReadAll(nc); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 413 ") {
+			t.Errorf("got %q, %v", answer, err)
+		}
+		nc.Close()
+		if n := <-sent; n >= 60_000_000 {
+			t.Errorf("%d bytes were taken in", n)
+		}
+	}
+	clients.Wait()
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
