Reload the configuration on SIGHUP and move the watch without a gap

Checked: nothing in cmd/gullfall/main.go handled the signal, and Go's default ends the process. config.Load gives NODE_DISCOVERY precedence over the file, so that merely reading again would have kept the old address. Now: signals are taken from the first line of run. The file is read and checked as at the start; a faulty one is logged with its key and changes nothing. A discovery that has changed in the file wins over the variable of the start. The watch follows the old address until the new one has told its whole list. Limits on memory and cores hold at once, other changed keys are named as in need of a restart. Tests: TestReload in config and cmd, two scenarios of the watch.

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -51,6 +51,9 @@
 }
 
 func run(log *slog.Logger) error {
+	// First of all: a reload may be asked for as soon as the program runs, and must not end it.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -59,8 +62,7 @@
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 2)
+	limit(cfg.Limits)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 
@@ -92,12 +94,14 @@
 	slots := make(chan struct{}, cfg.Limits.Sockets/4) // connections to data nodes of both kinds
 	nodes := &platform.Nodes{Core: c, Log: log, Dial: dial, Streams: cfg.Streams, Connect: limits.ConnectTimeout,
 		Idle: limits.ConnIdle, Slots: slots}
-	watch := &platform.Watch{Fleet: c.Fleet(nodes.Carry), Log: log, Dial: dial, Addr: cfg.Discovery,
-		Keep: func(list []byte) { kept.Put(store.Members, list) }}
+	watch := platform.NewWatch(cfg.Discovery)
+	watch.Fleet, watch.Log, watch.Dial = c.Fleet(nodes.Carry), log, dial
+	watch.Keep = func(list []byte) { kept.Put(store.Members, list) }
 	if len(cfg.Known) > 0 {
 		watch.Remember(cfg.Known)
 	}
 	go watch.Run(ctx)
+	go reload(ctx, reloads, cfg, watch, log)
 
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -134,6 +138,36 @@
 	return nil
 }
 
+// limit holds the runtime to what the configuration gives: the rest of the memory is for what Go does not count.
+func limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 2)
+}
+
+// reload takes in the configuration anew at each signal, until ctx ends; during a drain too, as the list of data
+// nodes still counts then. A faulty one changes nothing.
+func reload(ctx context.Context, signals <-chan os.Signal, cfg config.Config, watch *platform.Watch, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		next, restart, err := cfg.Reload(os.Getenv)
+		if err != nil {
+			log.Error("configuration not taken; the old one stays", "cause", err)
+			continue
+		}
+		if len(restart) > 0 {
+			log.Warn("changes need a restart; the old values stay", "keys", restart)
+		}
+		limit(next.Limits)
+		watch.Move(ctx, next.Discovery)
+		cfg = next
+		log.Info("configuration reloaded", "discovery", cfg.Discovery)
+	}
+}
+
 // startFlight starts the second front, and browses for its data nodes where a resolver is named.
 func startFlight(ctx context.Context, deploy config.Deploy, cfg config.Config, c *core.Core, log *slog.Logger,
 	slots chan struct{}, served chan<- error) (*flight.Server, error) {
--- a/cmd/gullfall/main_test.go
+++ b/cmd/gullfall/main_test.go
@@ -130,6 +130,74 @@
 	}
 }
 
+// TestReload: SIGHUP, a faulty file and repeated ones, also one amid a drain, do not end the program, and the watch
+// goes to the address that the file names, though a variable named another at the start.
+func TestReload(t *testing.T) {
+	t.Chdir(t.TempDir())
+	listen := free(t, "tcp")
+	watched := make(chan string, 9)
+	discovery := func(name string) string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for nc, err := ln.Accept(); err == nil; nc, err = ln.Accept() {
+				t.Cleanup(func() { nc.Close() })
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\n{\"version\":1,\"full\":true,\"servers\":[]}\n")
+				watched <- name
+			}
+		}()
+		return ln.Addr().String()
+	}
+	first, second := discovery("first"), discovery("second")
+	t.Setenv("NODE_CONFIG", "config.json")
+	t.Setenv("NODE_DISCOVERY", first)
+	write := func(discovery string) {
+		config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","settings":%s}`, listen, discovery, settings)
+		if err := os.WriteFile("config.json", []byte(config), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect := func(want string) {
+		t.Helper()
+		select {
+		case got := <-watched:
+			if got != want {
+				t.Fatalf("the watch is on the %s address, not the %s", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("no watch on the %s address", want)
+		}
+	}
+	write(first)
+	ended := make(chan error, 1)
+	go func() { ended <- run(slog.New(slog.DiscardHandler)) }()
+	expect("first")
+	for _, to := range []struct{ addr, watch string }{{"nowhere", ""}, {second, "second"}, {first, "first"}} {
+		write(to.addr)
+		for range 3 {
+			syscall.Kill(os.Getpid(), syscall.SIGHUP)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if to.watch != "" {
+			expect(to.watch)
+		}
+	}
+	if got := get(listen, "/up"); got != "HTTP/1.1 200 OK" {
+		t.Errorf("after reloads: %q", got)
+	}
+	write(second)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	expect("second")
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestDrainEnds: a client that is slow with its request or its answer does not keep the program from ending.
 func TestDrainEnds(t *testing.T) {
 	log := slog.New(slog.DiscardHandler)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,7 @@
 // Package config is the one place where configuration is read, checked and given defaults: the file that
 // NODE_CONFIG names, the NODE_ variables, and the files of ours under deploy/. An error names the faulty key.
-// It must never open a socket, and nothing here is read again after the start.
+// It must never open a socket. On a reload the file is read again and checked as at the start; what may change
+// while serving is settled here.
 package config
 
 import (
@@ -8,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"gullfall/aggregator"
@@ -31,6 +33,8 @@
 	Raw       json.RawMessage // the settings as they came; empty where they are to come from the store
 	Settings  aggregator.Settings
 	Streams   int // parts that one connection to a data node carries at once
+
+	inFile string // discovery as the file says it
 }
 
 // Load reads the file that NODE_CONFIG names; the other variables, where set, come before it.
@@ -46,6 +50,38 @@
 	return Parse(raw, getenv)
 }
 
+// Reload reads the file again and returns the configuration to go on with; where there is an error, the old one
+// stays whole. NODE_DISCOVERY was set for the start: a discovery that has changed in the file comes before it.
+// Keys that have changed and need a restart are returned, and their old values stay.
+func (c Config) Reload(getenv func(string) string) (next Config, restart []string, err error) {
+	if next, err = Load(getenv); err != nil {
+		return c, nil, err
+	}
+	if len(next.Raw) == 0 {
+		next.Raw = c.Raw
+	}
+	if err := next.Adopt(next.Raw); err != nil {
+		return c, nil, err
+	}
+	if next.inFile == c.inFile {
+		next.Discovery = c.Discovery
+	} else {
+		next.Discovery = next.inFile
+	}
+	for _, k := range []struct {
+		key     string
+		changed bool
+	}{{"name", next.Name != c.Name}, {"listen", next.Listen != c.Listen}, {"limits.sockets", next.Limits.Sockets != c.Limits.Sockets},
+		{"settings", next.Streams != c.Streams || !reflect.DeepEqual(next.Settings, c.Settings)}} {
+		if k.changed {
+			restart = append(restart, k.key)
+		}
+	}
+	next.Name, next.Listen, next.Limits.Sockets = c.Name, c.Listen, c.Limits.Sockets
+	next.Raw, next.Settings, next.Streams = c.Raw, c.Settings, c.Streams
+	return next, restart, nil
+}
+
 // Parse reads a configuration.
 func Parse(raw []byte, getenv func(string) string) (Config, error) {
 	var f struct {
@@ -57,7 +93,7 @@
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
 	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known,
-		Raw: f.Settings}
+		Raw: f.Settings, inFile: f.Discovery}
 	for _, v := range []struct {
 		key string
 		to  *string
@@ -69,7 +105,11 @@
 	if c.Name == "" {
 		return c, fmt.Errorf("name: missing")
 	}
-	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	if c.inFile == "" {
+		c.inFile = c.Discovery
+	}
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
+		{"discovery", c.inFile}} {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
 			return c, fmt.Errorf("%s: %w", a.key, err)
 		}
@@ -118,5 +158,8 @@
 	if c.Settings.Tick <= 0 {
 		return fmt.Errorf("settings: TickS: missing or not above 0")
 	}
+	if _, err := aggregator.New(c.Settings, 0); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,10 +1,12 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.4:5000","discovery":"127.0.2.1:8500","seed":"8c1f30d27a5be964",
@@ -99,3 +101,49 @@
 		t.Errorf("%+v, %v", d, err)
 	}
 }
+
+// TestReload: a faulty file changes nothing and its key is named; a discovery that has changed in the file comes
+// before the variable of the start; what needs a restart is named and stays.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(k string) string {
+		return map[string]string{"NODE_CONFIG": path, "NODE_DISCOVERY": "127.0.2.1:8500"}[k]
+	}
+	write := func(from, to string) {
+		if err := os.WriteFile(path, []byte(strings.Replace(good, from, to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("", "")
+	cfg, err := Load(env)
+	if err == nil {
+		err = cfg.Adopt(cfg.Raw)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, discovery, restart, err string }{
+		{"", "", "127.0.2.1:8500", "[]", ""},
+		{"127.0.2.1:8500", "127.0.2.2:8500", "127.0.2.2:8500", "[]", ""},
+		{"127.0.2.1:8500", "nowhere", "127.0.2.2:8500", "[]", "discovery"},
+		{`"AimS":1`, `"AimS":0`, "127.0.2.2:8500", "[]", "settings"},
+		{good, "{", "127.0.2.2:8500", "[]", "configuration"},
+		{`"AimS":1`, `"AimS":1.5`, "127.0.2.1:8500", "[settings]", ""},
+		{"127.0.0.4:5000", "127.0.0.5:5000", "127.0.2.1:8500", "[listen]", ""},
+		{`"memory_mb":192`, `"memory_mb":64`, "127.0.2.1:8500", "[]", ""},
+	} {
+		write(c.from, c.to)
+		next, restart, err := cfg.Reload(env)
+		if (err != nil) != (c.err != "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%s: error %v, want one that names %q", c.to, err, c.err)
+		}
+		if next.Discovery != c.discovery || fmt.Sprint(restart) != c.restart || next.Listen != cfg.Listen ||
+			next.Settings.Classes[0].Aim != time.Second {
+			t.Errorf("%s: got %+v, restart %v", c.to, next, restart)
+		}
+		cfg = next
+	}
+	if cfg.Limits.MemoryMB != 64 {
+		t.Errorf("memory_mb is %d after the reload", cfg.Limits.MemoryMB)
+	}
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,7 +1,9 @@
 package platform
 
 // This file owns the watch on discovery: one connection, opened anew after the last version seen whenever it
-// ends. It must never hold back a change, nor let a list or an entry that can't be read end the process.
+// ends, and a second one for as long as the watch moves to another address. It must never hold back a change,
+// leave one source before the next has told its list, nor let a list or an entry that can't be read end the
+// process.
 
 import (
 	"bufio"
@@ -28,20 +30,40 @@
 	pause = 200 * time.Millisecond
 )
 
-// Watch follows the list of data nodes. Its fields are set before Run.
+// Watch follows the list of data nodes. Its exported fields are set before Run.
 type Watch struct {
 	Fleet *core.Fleet
 	Log   *slog.Logger
 	Dial  func(ctx context.Context, addr string) (net.Conn, error)
-	Addr  string
 	Keep  func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
 
+	moves   chan string
+	addr    string
 	version int64
-	listed  bool
+	listed  bool                       // a list was told, or remembered
+	moved   bool                       // and not by the address in use
 	away    bool                       // the last try failed, and was logged
 	entries map[string]json.RawMessage // by id
 }
 
+// NewWatch returns a watch on discovery at addr.
+func NewWatch(addr string) *Watch { return &Watch{addr: addr, moves: make(chan string)} }
+
+// source is one connection to discovery, or the attempt to open one.
+type source struct {
+	addr, target string
+	told         chan<- telling
+	stop         context.CancelFunc
+}
+
+// telling is what a source has brought: that it is open, a page, or its end.
+type telling struct {
+	from *source
+	open bool
+	page *page
+	end  error
+}
+
 // page is one message of discovery.
 type page struct {
 	Version int64             `json:"version"`
@@ -99,28 +121,116 @@
 	w.Fleet.Replace(w.members(p), true)
 }
 
-// Run watches until ctx ends.
+// Move goes over to discovery at another address. It returns once Run knows of it, or ctx ends.
+func (w *Watch) Move(ctx context.Context, addr string) {
+	select {
+	case w.moves <- addr:
+	case <-ctx.Done():
+	}
+}
+
+// Run watches until ctx ends. While it moves, the old source is followed until the new one has told its whole
+// list: another address may be another agent, whose versions need not be those of the first.
 func (w *Watch) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := w.follow(ctx)
-		if ctx.Err() != nil {
-			return
+	told := make(chan telling)
+	open := func() *source {
+		s := &source{addr: w.addr, target: "/discovery/hosts?watch=1", told: told}
+		if w.listed && !w.moved {
+			s.target += "&after=" + strconv.FormatInt(w.version, 10)
 		}
-		if !w.away {
-			w.Log.Warn("watch on discovery ended; opening it anew", "version", w.version, "cause", err)
-		}
-		w.away = true
+		var running context.Context
+		running, s.stop = context.WithCancel(ctx)
+		go w.follow(running, s)
+		return s
+	}
+	now, next := open(), (*source)(nil)
+	again := time.NewTimer(0)
+	<-again.C
+	defer again.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+			return
+		case addr := <-w.moves:
+			if addr == w.addr {
+				continue
+			}
+			w.Log.Info("watch on discovery moves", "from", w.addr, "to", addr)
+			if w.addr, w.moved = addr, true; next != nil {
+				next.stop()
+			}
+			next = open()
+		case <-again.C:
+			if now == nil && next == nil {
+				now = open()
+			} else if next == nil {
+				next = open()
+			}
+		case t := <-told:
+			switch {
+			case t.from != now && t.from != next: // it was stopped meanwhile
+			case t.end != nil:
+				t.from.stop()
+				if t.from == now {
+					now = nil
+				} else {
+					next = nil
+				}
+				if !w.away {
+					w.Log.Warn("watch on discovery ended; opening it anew", "addr", t.from.addr, "version", w.version,
+						"cause", t.end)
+				}
+				if w.away = true; next == nil {
+					again.Reset(pause)
+				}
+			case t.open:
+				if w.away {
+					w.Log.Info("watch on discovery is open again", "version", w.version)
+				}
+				w.away = false
+			default:
+				if t.from == next {
+					if now != nil {
+						now.stop()
+					}
+					now, next = next, nil
+				}
+				w.moved = w.moved && now.addr != w.addr
+				w.apply(*t.page)
+			}
 		}
 	}
 }
 
-// follow opens one watch and applies what it brings.
-func (w *Watch) follow(ctx context.Context) error {
+// apply takes in a page.
+func (w *Watch) apply(p page) {
+	if p.Full {
+		w.Fleet.Replace(w.members(p), false)
+	} else {
+		w.Fleet.Change(w.members(p))
+	}
+	w.version, w.listed = p.Version, true
+	w.keep()
+}
+
+// tell passes on what a source has brought, unless it was stopped.
+func (s *source) tell(ctx context.Context, t telling) {
+	t.from = s
+	select {
+	case s.told <- t:
+	case <-ctx.Done():
+	}
+}
+
+// follow runs a source until it ends.
+func (w *Watch) follow(ctx context.Context, s *source) {
+	s.tell(ctx, telling{end: w.read(ctx, s)})
+}
+
+// read opens a source's connection and tells what it brings, until it ends.
+func (w *Watch) read(ctx context.Context, s *source) error {
 	dialing, cancel := context.WithDeadline(ctx, time.Now().Add(quiet))
-	nc, err := w.Dial(dialing, w.Addr)
+	nc, err := w.Dial(dialing, s.addr)
 	cancel()
 	if err != nil {
 		return err
@@ -128,11 +238,7 @@
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	nc.SetDeadline(time.Now().Add(quiet))
-	target := "/discovery/hosts?watch=1"
-	if w.listed {
-		target += "&after=" + strconv.FormatInt(w.version, 10)
-	}
-	if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, w.Addr); err != nil {
+	if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.target, s.addr); err != nil {
 		return err
 	}
 	in := textproto.NewReader(bufio.NewReader(nc))
@@ -147,10 +253,7 @@
 	if err != nil {
 		return err
 	}
-	if w.away {
-		w.Log.Info("watch on discovery is open again", "version", w.version)
-	}
-	w.away = false
+	s.tell(ctx, telling{open: true})
 	var body io.Reader = in.R
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
 		body = &chunks{in: in}
@@ -165,17 +268,11 @@
 		if len(strings.TrimSpace(string(line))) == 0 {
 			continue
 		}
-		var p page
-		if err := json.Unmarshal(line, &p); err != nil {
+		p := new(page)
+		if err := json.Unmarshal(line, p); err != nil {
 			return fmt.Errorf("list not understood: %w", err)
 		}
-		if p.Full {
-			w.Fleet.Replace(w.members(p), false)
-		} else {
-			w.Fleet.Change(w.members(p))
-		}
-		w.version, w.listed = p.Version, true
-		w.keep()
+		s.tell(ctx, telling{page: p})
 	}
 }
 
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -277,6 +277,51 @@
 		n1 send A q3.0 ok v
 		c1 expect 200
 		n2 expect -`},
+	// Guards a reload: the old discovery is heard until the new one has told its whole list, even when the new one comes
+	// up late, and the old one no more from then on.
+	{"the watch moves to another address", "n1 n2", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		s1 send move d2
+		d2 expect GET /discovery/hosts?watch=1
+		d2 close
+		d1 send page {"version":42,"servers":[{"id":"n1","addr":"n1","cell":0,"state":"DRAINING"}]}
+		wait 10ms
+		c1 send query q1 2000 0
+		wait 20ms
+		c1 expect 503 after {"error":"refused"}
+		wait 200ms
+		d2 expect GET /discovery/hosts?watch=1
+		d1 expect -
+		d2 send page {"version":7,"full":true,"servers":[{"id":"n1","addr":"n1","cell":0,"state":"SERVING"}]}
+		d1 expect end
+		c1 send query q2 2000 0
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c1 expect 200
+		c1 send query q3 2000 1
+		wait 20ms
+		c1 expect 503 after {"error":"refused"}
+		d2 close
+		wait 300ms
+		d2 expect GET /discovery/hosts?watch=1&after=7
+		d1 expect -`},
+	{"a second move before the first is through, and an old address that goes first", "n1", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		s1 send move d2
+		d2 expect GET /discovery/hosts?watch=1
+		s1 send move d3
+		d2 expect end
+		d3 expect GET /discovery/hosts?watch=1
+		d1 close
+		d3 close
+		wait 300ms
+		d3 expect GET /discovery/hosts?watch=1
+		d1 expect -
+		d2 expect -
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200`},
 	{"a list that can't be read costs the watch only", "n1", `
 		d1 expect GET /discovery/hosts?watch=1&after=41
 		d1 send page {"version":
@@ -328,6 +373,7 @@
 	mu      sync.Mutex // guards actors
 	actors  map[string]*actor
 	clients *Clients
+	watch   *Watch
 	ended   context.Context
 }
 
@@ -359,7 +405,8 @@
 	go c.Run(ctx)
 	carrier := &Nodes{Core: c, Log: log, Dial: w.dial, Streams: 32, Connect: set.Limits.ConnectTimeout,
 		Idle: set.Limits.ConnIdle, Slots: make(chan struct{}, 9)}
-	watch := &Watch{Fleet: c.Fleet(carrier.Carry), Log: log, Dial: w.dial, Addr: "d1"}
+	watch := NewWatch("d1")
+	watch.Fleet, watch.Log, watch.Dial, w.watch = c.Fleet(carrier.Carry), log, w.dial, watch
 	var list []string
 	for _, id := range strings.Fields(nodes) {
 		w.actor(id)
@@ -570,6 +617,9 @@
 	case text == "drain":
 		w.clients.Drain()
 		return
+	case words[0] == "move":
+		w.watch.Move(w.ended, words[1])
+		return
 	case text == "rest":
 		w.clients.CloseIdle()
 		return
