Let a further attempt wait 5 ms whatever the tick; close spare connections soon

A cross-zone way takes 0.7 ms and more, one within the zone 0.2 ms: the next attempt could be there before the X frame was read. Ruled out: two attempts out by the module's account (it sends only after the end), frames out of order on one connection. Now the end is taken in 5 ms later. In the same logs: "no descriptor left" 18 times, as each part tried again at the same data node opens a further connection that stayed for 26 s; these now go after 2 s of idling. Tests: TestFurtherAttemptWaits with a tick of 1 ms, TestSpareConnections.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -309,13 +309,16 @@
 	Spoilt: aggregator.Spoilt,
 }
 
+// settleTime is how long what tells a data node of the end of an attempt may be on its way, or lie unread there.
+const settleTime = 5 * time.Millisecond
+
 // Report tells how an attempt ended; only the first report of an attempt counts. The end of one that the data
-// node learns from us, by a give-up or by a connection that we closed, is taken in a tick later: what tells of it
-// is on its way until then, and a further attempt must not overtake it on another connection.
+// node learns from us, by a give-up or by a connection that we closed, is taken in later: what tells of it is on
+// its way until then, and a further attempt must not overtake it on another connection.
 func (c *Core) Report(a *Attempt, r Result) {
 	var due time.Time
 	if r.Outcome == Dropped || r.Outcome == Reset || r.Outcome == Spoilt {
-		due = time.Now().Add(c.set.Tick)
+		due = time.Now().Add(max(settleTime, c.set.Tick))
 	}
 	c.put(input{attempt: a, due: due, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
 		Attempt: a.number, Replica: a.node.id, Outcome: outcomes[r.Outcome], Report: r.Load}})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -25,9 +25,11 @@
 	end   func()
 }
 
+var tick = 5 * time.Millisecond
+
 func newStand(t *testing.T, maxOpen int, act func(s *stand, o *Order)) *stand {
 	t.Helper()
-	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 1, Shards: 4, Reach: 1,
+	set := aggregator.Settings{Aggregators: 1, Tick: tick, Cells: 1, Shards: 4, Reach: 1,
 		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}},
 		Limits: aggregator.Limits{Attempts: 3, Bundle: 2, Cancel: true, MaxOpen: maxOpen, RetryAfter: true,
 			MaxRetryAfter: 2 * time.Second},
@@ -244,12 +246,15 @@
 	})
 }
 
-// TestFurtherAttemptWaits: after a give-up or a reset the next attempt of a part goes out no sooner than a tick
-// later, so that it can't overtake what tells the data node, or its machine, of the end of the one before.
+// TestFurtherAttemptWaits: after a give-up or a reset the next attempt of a part goes out no sooner than 5 ms
+// later, however short the tick, so that it can't overtake what tells the data node, or its machine, of the end of
+// the one before: with a tick of 1 ms it did.
 func TestFurtherAttemptWaits(t *testing.T) {
 	for _, end := range []Outcome{Dropped, Reset, Spoilt, Errored} {
 		synctest.Test(t, func(t *testing.T) {
 			var ended, again time.Time
+			tick = time.Millisecond
+			defer func() { tick = 5 * time.Millisecond }()
 			s := newStand(t, 0, func(s *stand, o *Order) {
 				switch {
 				case o.Call != nil && ended.IsZero():
@@ -266,7 +271,7 @@
 			if got := s.ask(t.Context(), "q", 0); got != "1 true 1 false" {
 				t.Errorf("got %s", got)
 			}
-			if wait := again.Sub(ended); end != Errored && wait < s.set.Tick {
+			if wait := again.Sub(ended); end != Errored && wait < 5*time.Millisecond {
 				t.Errorf("outcome %d: the next attempt went out after %v", end, wait)
 			}
 			s.end()
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -33,6 +33,8 @@
 	maxLine  = 1 << 10         // and the longest line in it
 	// frameTime is how long a frame may take from its first byte to its last. Data nodes write frames whole.
 	frameTime = 100 * time.Millisecond
+	// spareTime is how long a data node's second connection is kept idle, and any further.
+	spareTime = 2 * time.Second
 )
 
 // errSpoilt marks what a data node should not have sent. Its connection can't be read any further.
@@ -230,8 +232,19 @@
 	return c.l.Idle > 0 && len(c.out) == 0 && !now.Before(c.idleEnd())
 }
 
-// idleEnd is when an idle connection is closed, well before the peer does so.
-func (c *conn) idleEnd() time.Time { return c.used.Add(c.l.Idle - c.l.Idle/8) }
+// idleEnd is when an idle connection is closed: well before the peer does so, and soon where another is in use.
+func (c *conn) idleEnd() time.Time {
+	keep := c.l.Idle - c.l.Idle/8
+	for _, o := range c.l.conns {
+		if o == c {
+			break
+		}
+		if !o.closed && !o.silent {
+			keep = min(keep, spareTime)
+		}
+	}
+	return c.used.Add(keep)
+}
 
 // push leaves a frame for the writer. The queue is bounded by the parts of a connection.
 func (c *conn) push(f frame) {
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -730,6 +730,24 @@
 	}
 }
 
+// TestSpareConnections: a second connection to a data node is closed soon after its use, unless the first can't be
+// used; with churn and give-ups they took all descriptors.
+func TestSpareConnections(t *testing.T) {
+	l := &link{Nodes: &Nodes{Idle: 8 * time.Second}}
+	first, second := &conn{l: l}, &conn{l: l}
+	l.conns = []*conn{first, second}
+	for _, silent := range []bool{false, true} {
+		first.silent = silent
+		want := map[bool]time.Duration{false: 2 * time.Second, true: 7 * time.Second}[silent]
+		if got := second.idleEnd().Sub(second.used); got != want {
+			t.Errorf("first silent: %v; the second is kept for %v", silent, got)
+		}
+		if got := first.idleEnd().Sub(first.used); got != 7*time.Second {
+			t.Errorf("the first is kept for %v", got)
+		}
+	}
+}
+
 // TestErrorReachesSender: a client that is still sending its 60 MB reads its error, not a reset, and little of what
 // it sends is taken in.
 func TestErrorReachesSender(t *testing.T) {
