Keep one stream of each connection free, so that give-ups are read

PROTOCOL says that parts beyond the number wait unread; the X frames behind them wait as well, and the next attempt began while the first was out. At fault: room in platform/nodes.go filled connections up to the number. It leaves one free now; where a connection is full all the same (one stream, or a longer call), a part is given up by closing it. Tried and dropped: serving for 2 s longer after SIGTERM. Tests: two scenarios.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -248,7 +248,7 @@
 
 // TestFurtherAttemptWaits: after a give-up or a reset the next attempt of a part goes out no sooner than 5 ms
 // later, however short the tick, so that it can't overtake what tells the data node, or its machine, of the end of
-// the one before: with a tick of 1 ms it did.
+// the one before.
 func TestFurtherAttemptWaits(t *testing.T) {
 	for _, end := range []Outcome{Dropped, Reset, Spoilt, Errored} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -117,14 +117,14 @@
 	}
 }
 
-// room returns a connection with room for n more parts, opening one where there is none; nil where no
-// descriptor is left. A part that was given up on a connection does not go out on it again: a late answer to
+// room returns a connection with room for a call, opening one where there is none; nil where no descriptor is
+// left. One stream stays free, since behind the last one frames wait unread, those that give parts up included. A part that was given up on a connection does not go out on it again: a late answer to
 // the first sending could not be told from one to the second.
 func (l *link) room(call []*core.Attempt) *conn {
 	now := time.Now()
 next:
 	for _, c := range l.conns {
-		if c.closed || c.silent || c.midway || len(c.out)+len(call) > max(l.Streams, len(call)) || c.idle(now) {
+		if c.closed || c.silent || c.midway || len(c.out)+len(call) > max(l.Streams-1, len(call)) || c.idle(now) {
 			continue
 		}
 		for _, a := range call {
@@ -165,7 +165,8 @@
 	c.push(f)
 }
 
-// drop gives up an attempt. What was not begun is only forgotten; else an X frame follows it.
+// drop gives up an attempt. What was not begun is only forgotten; else an X frame follows it, or the connection is
+// closed where it carries so many parts that the data node reads no further.
 func (l *link) drop(a *core.Attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -183,6 +184,11 @@
 		if c.heard.Before(s.at) {
 			c.silent = true
 		}
+		if len(c.out) >= l.Streams {
+			c.spoilt = true // what it carries beside
+			c.shut()        // an X frame would lie unread
+			return
+		}
 		c.push(frame{drop: s})
 		return
 	}
@@ -453,7 +459,7 @@
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
 	// A frame that does not come whole, though the connection holds, has a length that is not its own.
-	c.spoilt = errors.Is(err, errSpoilt) || c.midway && errors.Is(err, os.ErrDeadlineExceeded)
+	c.spoilt = c.spoilt || errors.Is(err, errSpoilt) || c.midway && errors.Is(err, os.ErrDeadlineExceeded)
 	if c.spoilt && !c.closed {
 		c.l.Log.Info("data node sent what is not understood", "node", c.l.node.ID(), "cause", err)
 	}
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -3,7 +3,7 @@
 // Scenarios in virtual time. A line is an actor, a verb (send, expect, close, wait) and a text. The actors: c1,
 // c2 ... clients; n1, n2 ... data nodes, n1 for the even shards and n2 for the odd; m1 a data node for the even
 // shards that takes connections and never reads; h1 one whose connections never come up; d1 discovery; s1 the
-// signals. "expect -" tells that nothing has come, "expect end" that the connection was closed.
+// signals. A data node's connection carries 32 parts, or as many as streams= says. "expect -" tells that nothing has come, "expect end" that the connection was closed.
 
 import (
 	"bufio"
@@ -54,6 +54,21 @@
 		n1 expect Q q1.0
 		c1 close
 		n1 expect X q1.0`},
+	// Guards the rule against twin attempts: a data node reads no further while a connection carries all it may, so a
+	// frame that gives a part up would lie unread while the part is sent elsewhere.
+	{"one stream of a connection stays free", "n1 streams=2", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		c2 send query q2 2000 2
+		wait 20ms
+		n1 expect -
+		c1 close
+		n1 expect X q1.0`},
+	{"a part is given up by closing a connection that is full", "n1 streams=1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		c1 close
+		n1 expect end`},
 	// Guards the rule against twin attempts: the time-out is told before the query ends.
 	{"an attempt that times out is given up at the data node", "n1", `
 		c1 send query q1 3000 0
@@ -455,6 +470,10 @@
 	watch.Fleet, watch.Log, watch.Dial, w.watch = c.Fleet(carrier.Carry), log, w.dial, watch
 	var list []string
 	for _, id := range strings.Fields(nodes) {
+		if n, ok := strings.CutPrefix(id, "streams="); ok {
+			carrier.Streams, _ = strconv.Atoi(n)
+			continue
+		}
 		w.actor(id)
 		list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"cell":%d,"state":"SERVING"}`, id, id, (id[1]+1)%2))
 	}
