Forget data nodes that are gone, and keep the store's log short

Saw by reading: the module kept each replica it was ever told of (byName, byTag, fleet, cells; survey walks them all each step), a stamp for each query and part (taken) though nothing rations them here, and the store's log in memory up to 18,000 entries of the whole list (the library's defaults), one for each change. So it is done 40 longest aims after a replica has left the list. Tests: TestWhatIsGoneIsForgotten, TestLogStaysShort.

--- a/aggregator/node_test.go
+++ b/aggregator/node_test.go
@@ -220,3 +220,47 @@
 		}
 	}
 }
+
+// TestWhatIsGoneIsForgotten: replicas come under new names for as long as a node runs, and queries without end;
+// what the node holds must not grow with them.
+// One that was there a short while ago, or owes an answer, is kept.
+func TestWhatIsGoneIsForgotten(t *testing.T) {
+	b := newBench(t, testSettings(), members("a", "b", "c")...)
+	for i := range 500 {
+		was, is := fmt.Sprint("r", i), fmt.Sprint("r", i+1)
+		fresh := members(is)[0]
+		fresh.Cell = i % b.agg.set.Cells
+		old := Member{Replica: was, Cell: (i + b.agg.set.Cells - 1) % b.agg.set.Cells, State: Gone}
+		b.step(Event{Kind: ListChanged, Members: []Member{old, fresh}})
+		b.now += 10 * time.Second
+		q := fmt.Sprint("q", i)
+		for _, s := range only(b.step(asks(q, time.Second, i%b.agg.set.Shards)...), Send) {
+			b.step(Event{Kind: AttemptEnded, Part: s.Part, Replica: s.Replica, Outcome: OK})
+		}
+	}
+	a := b.agg
+	held := 0
+	for _, cell := range a.cells {
+		held += len(cell)
+	}
+	// Those of the last 40 s and the one listed, beside the three of the start.
+	if most := 4 + 5; len(a.fleet) > most || len(a.byName) > most || len(a.byTag) > most || held > most {
+		t.Errorf("%d replicas, %d names, %d tags, %d in cells", len(a.fleet), len(a.byName), len(a.byTag), held)
+	}
+	if len(a.taken.at)+len(a.extras.at)+len(a.queries)+len(a.parts)+len(a.live) > 0 {
+		t.Errorf("%d taken, %d extras, %d queries, %d parts", len(a.taken.at), len(a.extras.at), len(a.queries), len(a.parts))
+	}
+	sent := only(b.step(asks("last", time.Hour, 0)...), Send)[0]
+	b.step(Event{Kind: ListReplaced})
+	b.now += time.Second
+	b.step(Event{Kind: Woke})
+	if a.byName[sent.Replica] == nil {
+		t.Error("a replica that owes an answer is forgotten")
+	}
+	b.step(Event{Kind: AttemptEnded, Part: sent.Part, Replica: sent.Replica, Outcome: OK})
+	b.now += time.Minute
+	b.step(Event{Kind: Woke})
+	if len(a.fleet) > 0 {
+		t.Errorf("%d replicas are held of an empty list", len(a.fleet))
+	}
+}
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -53,6 +53,7 @@
 	reserveShare = 0.2   // share of the class's deadline that is kept back for a standstill of this node
 	stallAims    = 8.0   // longest aims for which a standstill is expected again
 	rounding     = 5e-5  // by which all weights may fall short of 1: half of what the rules allow
+	goneAims     = 40.0  // longest aims for which a replica that has left the list may come back as it was
 	askShares    = 0.06  // share of the rule's time between list calls over which the first one is spread
 )
 
@@ -207,6 +208,7 @@
 	if e.Kind != ListChanged {
 		for _, r := range a.fleet {
 			r.barred = true
+			r.leave(a.now)
 		}
 	}
 	for _, m := range e.Members {
@@ -227,7 +229,11 @@
 			a.broke = a.now
 		}
 		a.rehouse(r, m.Cell)
-		r.member, r.barred = m, m.State != On
+		if r.member, r.barred = m, m.State != On; m.State == Gone {
+			r.leave(a.now)
+		} else {
+			r.left = 0
+		}
 	}
 	a.listed, a.refusals = true, 0
 }
@@ -443,6 +449,7 @@
 		}
 	}
 	a.median, a.pace = at(all, 2), at(paces, 3)
+	a.fleet = slices.DeleteFunc(a.fleet, a.forgets)
 }
 
 // patience is how long a part may take before it stands out.
@@ -803,7 +810,9 @@
 		return false
 	}
 	a.credit -= p.cost()
-	a.extras.at = append(a.extras.at, a.now)
+	if a.set.Rules.BudgetWindow > 0 {
+		a.extras.at = append(a.extras.at, a.now)
+	}
 	return true
 }
 
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -28,6 +28,7 @@
 	others   float64       // work that other nodes sent, seconds
 	othersAt time.Duration // as of then
 	barred   bool          // the list says draining or gone
+	left     time.Duration // when it left the list; 0 while it is listed
 	cold     bool
 	born     time.Duration // start of its warm-up, if cold
 	open     []*attempt    // in order of sending, ghosts included
@@ -225,7 +226,7 @@
 // addPart adds a part to its query. Parts of no query, known parts and shards out of range are skipped.
 func (a *Aggregator) addPart(e *Event) {
 	q := a.queries[e.Query]
-	a.taken.at = append(a.taken.at, a.now)
+	a.count()
 	if q == nil || a.parts[e.Part] != nil || e.Shard < 0 || e.Shard >= a.set.Shards {
 		return
 	}
@@ -234,6 +235,35 @@
 	a.parts[p.id] = p
 }
 
+// count notes a query or part taken, where further attempts are rationed by them.
+func (a *Aggregator) count() {
+	if a.set.Rules.BudgetWindow > 0 {
+		a.taken.at = append(a.taken.at, a.now)
+	}
+}
+
+// leave notes that a replica is listed no more.
+func (r *replica) leave(now time.Duration) {
+	if r.left == 0 {
+		r.left = now
+	}
+}
+
+// forgets lets go of a replica that left the list long ago and has nothing out: new ones come under new names for
+// as long as the program runs. One that is back before is known by what it showed.
+func (a *Aggregator) forgets(r *replica) bool {
+	if r.left == 0 || a.now-r.left < times(goneAims, a.longAim()) || len(r.open) > 0 {
+		return false
+	}
+	delete(a.byName, r.member.Replica)
+	if a.byTag[r.tag] == r {
+		delete(a.byTag, r.tag)
+	}
+	cell := &a.cells[r.member.Cell]
+	*cell = slices.DeleteFunc(*cell, func(o *replica) bool { return o == r })
+	return true
+}
+
 // close forgets a query and calls off what it has out.
 func (a *Aggregator) close(q *query) {
 	q.ended = true
@@ -357,7 +387,7 @@
 	if a.queries[e.Query] != nil {
 		return
 	}
-	a.taken.at = append(a.taken.at, a.now)
+	a.count()
 	q := &query{id: e.Query, class: e.Class, tenant: e.Tenant, want: e.Count, retry: e.Retry, arrived: a.now}
 	if e.Class < 0 || e.Class >= len(a.set.Classes) {
 		q.ended = true
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -33,6 +33,8 @@
 	maxLine  = 1 << 10         // and the longest line in it
 	// frameTime is how long a frame may take from its first byte to its last. Data nodes write frames whole.
 	frameTime = 100 * time.Millisecond
+	// staleTime is how long after its deadline an answer may come to a part that was given up.
+	staleTime = 10 * time.Second
 	// spareTime is how long a data node's second connection is kept idle, and any further.
 	spareTime = 2 * time.Second
 )
@@ -382,7 +384,7 @@
 			delete(c.stale, id)
 		}
 	}
-	c.stale[s.ID] = s.Deadline.Add(time.Minute)
+	c.stale[s.ID] = s.Deadline.Add(staleTime)
 }
 
 // wait pauses the writer until something is queued, the connection is shut, or end.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,6 +34,7 @@
 type Store struct {
 	log  *slog.Logger
 	raft *raft.Raft
+	logs raft.LogStore
 	disk *disk // nil where all is kept in memory
 
 	mu     sync.Mutex
@@ -55,6 +56,8 @@
 		ended: make(chan struct{})}
 	conf := raft.DefaultConfig()
 	conf.LocalID = raft.ServerID(name)
+	// Little is kept of the log beside the latest values: each change of the list is an entry of its length.
+	conf.SnapshotInterval, conf.SnapshotThreshold, conf.TrailingLogs = 2*time.Second, 32, 16
 	conf.Logger = hclog.New(&hclog.LoggerOptions{Name: "store", Level: hclog.Error, Output: os.Stderr})
 	var logs raft.LogStore
 	var stable raft.StableStore
@@ -104,6 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
+	s.logs = logs
 	go s.write()
 	return s, nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -45,6 +45,28 @@
 	until(t, s, Settings, "settings")
 }
 
+// TestLogStaysShort: on a day on which data nodes come and go, each change of the list is an entry; the log must not
+// grow with them.
+func TestLogStaysShort(t *testing.T) {
+	s := open(t, config.Store{}, "n0")
+	defer s.Close()
+	for i := range 200 {
+		value := fmt.Sprintf("list %d", i)
+		s.Put(Members, []byte(value))
+		until(t, s, Members, value)
+	}
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		first, _ := s.logs.FirstIndex()
+		last, _ := s.logs.LastIndex()
+		if last >= 200 && last-first < 50 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the log holds %d to %d", first, last)
+		}
+	}
+}
+
 // TestRestoredAtStart: what a member held on disk can be read as soon as it is opened, before any election.
 func TestRestoredAtStart(t *testing.T) {
 	cfg := config.Store{Directory: t.TempDir()}
