Open a lost connection anew at once, to tell it from a dead data node

Logs show each reset followed by refusals on both coordinators. The module takes any reset as a death (broke, killed, wrecks, cold), as it did with spoilt answers. Ruled out: load, descriptors (38 of 384), the list. At fault: settle in platform/nodes.go, which reported Reset whatever had become of the data node. A process that has died refuses new connections. The writer now opens the connection anew: if that succeeds, what was out is Cut (the former Spoilt: one strike, no death) and what was not begun goes out on the new one, or else it is Reset as before. A first connection that is reset is tried once more. Flight does the same with its channel. Test: the scenario "connections that are cut"; fails without the change with a refusal.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -118,7 +118,7 @@
 	Full          // never ran
 	ConnectFailed // never ran
 	Moot          // never sent
-	Spoilt        // what its connection brought can't be read, and was closed; all parts out on it end alike
+	Cut           // its connection was lost or of no more use, but the replica lives; all parts out on it end alike
 )
 
 // EventKind names what happened.
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -296,11 +296,11 @@
 			// A process that drops connections may have restarted before the list says so.
 			r.cold, r.born = true, a.now
 		}
-	case Spoilt:
+	case Cut:
 		a.release(t)
-		// It answers, if badly: nothing has died, and whatever else was out on the connection is no further sign.
-		if r.spoilt != a.round {
-			r.spoilt, r.leaky = a.round, true
+		// Nothing has died, and whatever else was out on the connection is no further sign.
+		if r.cut != a.round {
+			r.cut, r.leaky = a.round, true
 			a.strike(r)
 		}
 	case Full:
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -52,7 +52,7 @@
 	strikes  float64
 	ejected  bool
 	shunned  time.Duration // full until about then
-	spoilt   int           // the round that last counted a spoilt connection
+	cut      int           // the round that last counted a lost connection
 	leaky    bool          // its last failure was a quick error
 	cleared  bool          // a trial part may be sent
 	until    time.Duration // no trial before
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,7 +79,7 @@
 	NotConnected         // never written whole
 	Reset                // the connection ended after it was written
 	Dropped              // given up as ordered
-	Spoilt               // what came on its connection can't be read, and the connection was closed
+	Cut                  // its connection was lost or is of no more use, but the data node is there
 )
 
 // Result goes with a Report.
@@ -306,7 +306,7 @@
 var outcomes = map[Outcome]aggregator.Outcome{
 	Served: aggregator.OK, Errored: aggregator.Errored, Busy: aggregator.Full,
 	NotConnected: aggregator.ConnectFailed, Reset: aggregator.Reset, Dropped: aggregator.TimedOut,
-	Spoilt: aggregator.Spoilt,
+	Cut: aggregator.Cut,
 }
 
 // settleTime is how long what tells a data node of the end of an attempt may be on its way, or lie unread there.
@@ -317,7 +317,7 @@
 // its way until then, and a further attempt must not overtake it on another connection.
 func (c *Core) Report(a *Attempt, r Result) {
 	var due time.Time
-	if r.Outcome == Dropped || r.Outcome == Reset || r.Outcome == Spoilt {
+	if r.Outcome == Dropped || r.Outcome == Reset || r.Outcome == Cut {
 		due = time.Now().Add(max(settleTime, c.set.Tick))
 	}
 	c.put(input{attempt: a, due: due, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -250,7 +250,7 @@
 // later, however short the tick, so that it can't overtake what tells the data node, or its machine, of the end of
 // the one before.
 func TestFurtherAttemptWaits(t *testing.T) {
-	for _, end := range []Outcome{Dropped, Reset, Spoilt, Errored} {
+	for _, end := range []Outcome{Dropped, Reset, Cut, Errored} {
 		synctest.Test(t, func(t *testing.T) {
 			var ended, again time.Time
 			tick = time.Millisecond
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -257,12 +257,26 @@
 		r, err = p.read(ch, stream, a.Shard)
 	}
 	if err != nil {
-		r = core.Result{Outcome: outcome(ctx, err)}
+		if r = (core.Result{Outcome: outcome(ctx, err)}); r.Outcome == core.Reset && p.lives(ctx) {
+			r.Outcome = core.Cut
+		}
 		p.Log.Info("part ended without its value", "node", p.node.ID(), "part", a.ID, "cause", err)
 	}
 	return r
 }
 
+// lives tells whether a channel comes up at once: a data node that has died refuses it.
+func (p *peer) lives(ctx context.Context) bool {
+	ch, err := p.acquire(ctx)
+	if err != nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.release(ch, 1)
+	return true
+}
+
 // errStream marks a stream that ended well but can't be used.
 var errStream = errors.New("stream not understood")
 
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -22,6 +22,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 	"unicode/utf8"
 
@@ -64,7 +65,6 @@
 
 type conn struct {
 	l      *link
-	born   time.Time
 	wake   chan struct{}
 	queue  []frame
 	out    map[string]*sent
@@ -73,6 +73,7 @@
 	nc     net.Conn // nil while it comes up
 	last   string   // the part answered last
 	closed bool
+	wrote  bool      // a frame went out on it since it was opened last
 	midway bool      // a frame has begun to come in
 	spoilt bool      // ended for what came in on it
 	silent bool      // an attempt was given up on it and nothing was heard since that was sent
@@ -141,7 +142,7 @@
 	default:
 		return nil
 	}
-	c := &conn{l: l, born: now, used: now, wake: make(chan struct{}, 1), out: map[string]*sent{}, stale: map[string]time.Time{}}
+	c := &conn{l: l, used: now, wake: make(chan struct{}, 1), out: map[string]*sent{}, stale: map[string]time.Time{}}
 	l.conns = append(l.conns, c)
 	go c.run()
 	return c
@@ -275,22 +276,84 @@
 	}
 }
 
-// run is the writer: it opens the connection, writes what is queued, and gives everything back at the end.
+// run is the writer: it opens the connection, writes what is queued, and gives everything back at the end. A
+// connection that breaks under parts is opened anew at once: whether that succeeds tells a data node that has died
+// from one that only lost a connection, and what was not begun goes out on it.
 func (c *conn) run() {
-	ctx, cancel := context.WithDeadline(context.Background(), c.born.Add(c.l.Connect))
+	nc, err := c.open()
+	for err == nil {
+		var reader sync.WaitGroup
+		reader.Go(func() { c.read(nc) })
+		err = c.write(nc)
+		nc.Close()
+		reader.Wait()
+		if !c.again(err) {
+			break
+		}
+		if nc, err = c.open(); err == nil {
+			c.renew()
+		}
+	}
+	c.settle(err)
+}
+
+// open opens the connection; a first one that was reset is no sign yet.
+func (c *conn) open() (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(c.l.Connect))
+	defer cancel()
 	nc, err := c.l.Dial(ctx, c.l.node.Addr())
-	cancel()
-	var reader sync.WaitGroup
+	if errors.Is(err, syscall.ECONNRESET) {
+		nc, err = c.l.Dial(ctx, c.l.node.Addr())
+	}
 	if err == nil {
 		c.l.mu.Lock()
 		c.nc = nc
 		c.l.mu.Unlock()
-		reader.Go(func() { c.read(nc) })
-		err = c.write(nc)
-		nc.Close()
 	}
-	reader.Wait()
-	c.settle(err)
+	return nc, err
+}
+
+// again tells whether a connection that ended is to be opened anew: it carried parts, and the data node took in
+// what was written to it, so that each time something is got done.
+func (c *conn) again(err error) bool {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	wrote := c.wrote
+	c.wrote = false
+	for _, s := range c.out {
+		if !s.dropping && !(c.spoilt && !s.at.IsZero()) {
+			return wrote && !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	return false
+}
+
+// renew goes on with a new connection. What was out on the old one is cut: it may have run.
+func (c *conn) renew() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.l.Log.Info("connection to data node was cut and is open again", "node", c.l.node.ID(), "parts", len(c.out))
+	for id, s := range c.out {
+		if !s.at.IsZero() {
+			delete(c.out, id)
+			c.report(s, core.Cut)
+		}
+	}
+	for _, p := range c.probes {
+		c.push(frame{probe: p})
+	}
+	c.probes, c.last = nil, ""
+	clear(c.stale)
+	c.closed, c.midway, c.spoilt, c.silent = false, false, false, false
+	c.used = time.Now()
+}
+
+// report tells how an attempt ended with its connection. The caller holds the lock.
+func (c *conn) report(s *sent, outcome core.Outcome) {
+	if s.dropping {
+		outcome = core.Dropped
+	}
+	c.l.Core.Report(s.Attempt, core.Result{Outcome: outcome})
 }
 
 // settle reports what was out as its connection ended.
@@ -305,14 +368,12 @@
 	for _, s := range c.out {
 		outcome := core.NotConnected
 		switch {
-		case s.dropping:
-			outcome = core.Dropped
 		case !s.at.IsZero() && c.spoilt:
-			outcome = core.Spoilt
+			outcome = core.Cut
 		case !s.at.IsZero():
 			outcome = core.Reset
 		}
-		c.l.Core.Report(s.Attempt, core.Result{Outcome: outcome})
+		c.report(s, outcome)
 	}
 	for _, f := range c.queue {
 		if f.probe != nil {
@@ -364,9 +425,11 @@
 			for _, s := range f.call {
 				s.at = time.Time{}
 			}
+			c.queue = append([]frame{f}, c.queue...)
 			c.l.mu.Unlock()
 			return err
 		}
+		c.wrote = true
 		if f.drop != nil && c.out[f.drop.ID] == f.drop {
 			delete(c.out, f.drop.ID)
 			c.spoil(f.drop)
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -230,6 +230,20 @@
 		n1 expect -
 		wait 1s
 		n1 expect end`},
+	// Guards against taking a lost connection for a dead data node: with the second one the query was given up, and all
+	// later ones sent their parts one by one.
+	{"connections that are cut", "n1", `
+		c1 send query q1 2000 0,2
+		n1 expect Q q1.0,q1.2
+		n1 close
+		n1 expect Q q1.0,q1.2
+		n1 close
+		n1 expect Q q1.0,q1.2
+		n1 send A q1.0 ok v
+		n1 send A q1.2 ok v
+		c1 expect 200
+		c1 send query q2 2000 0,2
+		n1 expect Q q2.0,q2.2`},
 	{"a data node that ended a connection is reached by a new one", "n1", `
 		c1 send query q1 2000 0
 		n1 expect Q q1.0
