Tell in the log how each attempt of a refused query ended

The line said only that an attempt was over. It names the end now: err, busy, cut, reset, given up, not connected.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,6 +102,7 @@
 	begun  time.Time
 	why    aggregator.Outcome // of a drop that was ordered
 	over   bool
+	end    Outcome
 }
 
 // Order is one thing that a carrier is to do at a data node; one field is set.
@@ -153,6 +154,7 @@
 type input struct {
 	event   aggregator.Event
 	attempt *Attempt
+	end     Outcome
 	docs    [][]byte
 	ask     *query
 	due     time.Time // not taken in before
@@ -320,7 +322,7 @@
 	if r.Outcome == Dropped || r.Outcome == Reset || r.Outcome == Cut {
 		due = time.Now().Add(max(settleTime, c.set.Tick))
 	}
-	c.put(input{attempt: a, due: due, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
+	c.put(input{attempt: a, end: r.Outcome, due: due, docs: r.Docs, event: aggregator.Event{Kind: aggregator.AttemptEnded, Part: a.ID,
 		Attempt: a.number, Replica: a.node.id, Outcome: outcomes[r.Outcome], Report: r.Load}})
 }
 
@@ -441,7 +443,7 @@
 		if a.over {
 			return false
 		}
-		a.over = true
+		a.over, a.end = true, in.end
 		delete(c.attempts, a)
 		a.node.hold(-1)
 		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
@@ -590,13 +592,7 @@
 		}
 		text := strconv.Itoa(p.shard)
 		for _, a := range p.tries {
-			state := "out"
-			if a.over {
-				state = "over"
-			} else if a.why != aggregator.Unknown {
-				state = "given up"
-			}
-			text += fmt.Sprintf(" %s %s %v", a.node.id, state, now.Sub(a.begun).Round(time.Millisecond))
+			text += fmt.Sprintf(" %s %s %v", a.node.id, a.state(), now.Sub(a.begun).Round(time.Millisecond))
 		}
 		missing = append(missing, text)
 	}
@@ -604,6 +600,20 @@
 		"left", q.Deadline.Sub(now).Round(time.Millisecond), "parts", len(q.parts), "missing", missing)
 }
 
+var words = map[Outcome]string{Served: "ok", Errored: "err", Busy: "busy", NotConnected: "not connected",
+	Reset: "reset", Dropped: "given up", Cut: "cut"}
+
+// state is what became of an attempt, in a word.
+func (a *Attempt) state() string {
+	switch {
+	case a.over:
+		return words[a.end]
+	case a.why != aggregator.Unknown:
+		return "being given up"
+	}
+	return "out"
+}
+
 // free takes a query off the count of what is held.
 func (c *Core) free(q *query) {
 	c.mu.Lock()
