Close kept connections once clients hold half of what they may have

Checked with log lines at accept, request, eviction and end: from 2 s on clients open a new connection for each request and keep it for 1 to 2 s. With 125 at rest and 3 with a request, 128 in all, requests stop coming: a third of 384 descriptors, which is what clients may hold. Places were left (Most 240), so nothing was closed. Ruled out: the accept loop (waited 12 times, 74 ms at most), the module, and the 96 connections that say nothing. Now: from half of that third on, an answer first closes the connection that has rested for longest, if for 2 s, and else its own with Connection: close. Test: the scenario "kept connections leave room for others".

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -113,7 +113,8 @@
 	if deploy.Flight.Listen != "" {
 		most -= cfg.Limits.Sockets / 8
 	}
-	clients := &platform.Clients{Core: c, Log: log, Most: most, Hold: int64(cfg.Limits.MemoryMB) << 20 / 16}
+	clients := &platform.Clients{Core: c, Log: log, Most: most, Busy: cfg.Limits.Sockets / 3,
+		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16}
 	served := make(chan error, 2)
 	go func() { served <- clients.Serve(ln) }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -62,10 +62,12 @@
 	Core *core.Core
 	Log  *slog.Logger
 	Most int   // connections that may be open
+	Busy int   // connections with requests that clients may have; from half of it on they are kept no longer than need be
 	Hold int64 // bytes of bodies that may be held while their requests come in
 
 	mu       sync.Mutex
 	conns    map[*client]bool
+	used     int // of conns, those that have brought a request
 	held     int64
 	draining bool // answers close their connections
 	closing  bool // so does being between requests
@@ -135,7 +137,7 @@
 			f.conns = map[*client]bool{}
 		}
 		if len(f.conns) >= f.Most {
-			f.evict()
+			f.evict(leaving)
 		}
 		if len(f.conns) < f.Most {
 			c.since = time.Now()
@@ -148,24 +150,40 @@
 	}
 }
 
-// evict closes the connection that must go first, if one may go. The caller holds the lock.
-func (f *Clients) evict() {
+// evict closes the connection that must go first, of those in a phase not before least, and tells whether one may
+// go. The caller holds the lock.
+func (f *Clients) evict(least phase) bool {
 	var first *client
 	now := time.Now()
 	for c := range f.conns {
-		if c.phase == asking || now.Sub(c.since) < spared[c.phase] {
+		if c.phase < least || c.phase == asking || now.Sub(c.since) < spared[c.phase] {
 			continue
 		}
 		if first == nil || c.phase < first.phase || c.phase == first.phase && c.since.Before(first.since) {
 			first = c
 		}
 	}
-	if first != nil {
-		delete(f.conns, first)
-		first.nc.Close()
+	if first == nil {
+		return false
+	}
+	f.remove(first)
+	first.nc.Close()
+	return true
+}
+
+// remove gives back the place of a connection. The caller holds the lock.
+func (f *Clients) remove(c *client) {
+	if f.conns[c] && c.used {
+		f.used--
 	}
+	delete(f.conns, c)
 }
 
+// crowded tells whether an answer is to close its connection. Clients that open one for each request and keep it
+// would soon have no other left: one that rests goes first, and where none has rested for long enough, this one.
+// The caller holds the lock.
+func (f *Clients) crowded() bool { return f.Busy > 0 && f.used > f.Busy/2 && !f.evict(resting) }
+
 // Drain makes each answer from now on close its connection.
 func (f *Clients) Drain() {
 	f.mu.Lock()
@@ -193,7 +211,7 @@
 	defer func() {
 		c.nc.Close()
 		c.f.mu.Lock()
-		delete(c.f.conns, c)
+		c.f.remove(c)
 		c.f.mu.Unlock()
 	}()
 	end := time.Now().Add(firstTime)
@@ -249,7 +267,12 @@
 func (c *client) turn(p phase) {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
-	c.phase, c.since, c.used = p, time.Now(), c.used || p == asking
+	if c.phase, c.since = p, time.Now(); p == asking && !c.used {
+		c.used = true
+		if c.f.conns[c] {
+			c.f.used++
+		}
+	}
 	if c.f.closing && (p == silent || p == resting) {
 		c.nc.SetReadDeadline(c.lastCall())
 	}
@@ -465,7 +488,7 @@
 // write sends an answer before end and tells whether the connection goes on.
 func (c *client) write(end time.Time, status int, extra, body []byte, last bool) bool {
 	c.f.mu.Lock()
-	last = last || c.f.draining
+	last = last || c.f.draining || c.f.crowded()
 	c.f.mu.Unlock()
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n", status,
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -3,7 +3,8 @@
 // Scenarios in virtual time. A line is an actor, a verb (send, expect, close, wait) and a text. The actors: c1,
 // c2 ... clients; n1, n2 ... data nodes, n1 for the even shards and n2 for the odd; m1 a data node for the even
 // shards that takes connections and never reads; h1 one whose connections never come up; d1 discovery; s1 the
-// signals. A data node's connection carries 32 parts, or as many as streams= says. "expect -" tells that nothing has come, "expect end" that the connection was closed.
+// signals. A data node's connection carries 32 parts, or as many as streams= says; busy=
+// is what clients may have. "expect -" tells that nothing has come, "expect end" that the connection was closed.
 
 import (
 	"bufio"
@@ -141,6 +142,25 @@
 		c3 expect -
 		wait 100ms
 		c3 expect 408 close`},
+	// Guards clients that open a connection for each request and keep it: half of what they may have stays open. Beyond
+	// it one that rested for 2 s goes, or else the one answered.
+	{"kept connections leave room for others", "n1 busy=4", `
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200 {}
+		c2 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c2 expect 200 {}
+		c3 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c3 expect 200 close {}
+		c3 expect end
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200 {}
+		wait 2s
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200 {}
+		c4 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c4 expect 200 {}
+		c2 expect end
+		c1 expect -`},
 	// Guards usual clients: nine connections may be open; the silent go first, then those that rest.
 	{"idle connections make room for others", "n1", `
 		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
@@ -484,8 +504,8 @@
 	watch.Fleet, watch.Log, watch.Dial, w.watch = c.Fleet(carrier.Carry), log, w.dial, watch
 	var list []string
 	for _, id := range strings.Fields(nodes) {
-		if n, ok := strings.CutPrefix(id, "streams="); ok {
-			carrier.Streams, _ = strconv.Atoi(n)
+		if key, n, ok := strings.Cut(id, "="); ok {
+			*map[string]*int{"streams": &carrier.Streams, "busy": &w.clients.Busy}[key], _ = strconv.Atoi(n)
 			continue
 		}
 		w.actor(id)
