--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -219,6 +219,9 @@
 	}
 }
 
+// weightSlack is by how much weights may miss 1 for being rounded.
+const weightSlack = 1e-3
+
 // check finds what can't be asked; the message is for the client.
 func (c *Core) check(q *Query) error {
 	if _, known := c.classes[q.Class]; !known {
@@ -238,15 +241,18 @@
 	if len(q.Parts) == 0 {
 		return fmt.Errorf("%w: no shards", ErrInput)
 	}
-	seen := map[int]bool{}
+	seen, sum := map[int]bool{}, 0.0
 	for _, p := range q.Parts {
 		if p.Shard < 0 || p.Shard >= c.set.Shards || seen[p.Shard] {
 			return fmt.Errorf("%w: unknown or repeated shard %d", ErrInput, p.Shard)
 		}
-		if !(p.Weight >= 0) || math.IsInf(p.Weight, 0) || p.Work < 0 {
+		if !(p.Weight >= 0 && p.Weight <= 1) || p.Work < 0 {
 			return fmt.Errorf("%w: weight or cost of shard %d", ErrInput, p.Shard)
 		}
-		seen[p.Shard] = true
+		seen[p.Shard], sum = true, sum+p.Weight
+	}
+	if math.Abs(sum-1) > weightSlack {
+		return fmt.Errorf("%w: weights add up to %g", ErrInput, sum)
 	}
 	if !q.Deadline.After(time.Now()) {
 		return fmt.Errorf("%w: deadline has passed", ErrInput)
@@ -415,8 +421,9 @@
 func (c *Core) accept(in *input, now time.Time) bool {
 	switch in.event.Kind {
 	case aggregator.QueryArrived:
-		if c.queries[in.ask.ID] != nil {
-			// Ids are new for each request; a second of the same would mix up the parts of both.
+		if c.queries[in.ask.ID] != nil || slices.ContainsFunc(in.ask.parts, func(p *part) bool { return c.parts[p.id] != nil }) {
+			// Ids are new for each request; a second of the same, while the first is open or a part of it still out,
+			// would mix up the parts of both.
 			in.ask.over = true
 			c.free(in.ask)
 			in.ask.reply <- Answer{Verdict: Failed}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -175,6 +176,19 @@
 		if got := <-first; got != "1 true 1 false" {
 			t.Errorf("first: %s", got)
 		}
+		// Nor does one come between a part that is being given up and its end.
+		ctx, leave := context.WithCancel(t.Context())
+		go func() { s.ask(ctx, "q", 0) }()
+		time.Sleep(50 * time.Millisecond)
+		leave()
+		time.Sleep(20 * time.Millisecond)
+		if got := s.ask(t.Context(), "q", 0); got != "3 false 0 false" {
+			t.Errorf("while a part is out: %s", got)
+		}
+		time.Sleep(time.Second)
+		if got := s.ask(t.Context(), "q", 0); got != "1 true 1 false" {
+			t.Errorf("afterwards: %s", got)
+		}
 		s.end()
 	})
 }
@@ -215,6 +229,10 @@
 		"negative": func(q *Query) { q.Parts[0].Shard = -1 },
 		"twice":    func(q *Query) { q.Parts = append(q.Parts, q.Parts[0]) },
 		"weight":   func(q *Query) { q.Parts[0].Weight = -1 },
+		"too much": func(q *Query) { q.Parts[0].Weight = 1.5 },
+		"no sum":   func(q *Query) { q.Parts = []Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.49}} },
+		"below 0":  func(q *Query) { q.Parts = []Part{{Shard: 0, Weight: 1.5}, {Shard: 1, Weight: -0.5}} },
+		"not a no": func(q *Query) { q.Parts[0].Weight = math.NaN() },
 		"deadline": func(q *Query) { q.Deadline = time.Now().Add(-time.Second) },
 	} {
 		q := Query{ID: "q", Class: "report", Owner: "club", Deadline: time.Now().Add(time.Second), Parts: []Part{{Shard: 1, Weight: 1}}}
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -173,7 +173,8 @@
 		}
 		cc, err := grpc.NewClient("passthrough:///"+p.node.Addr(), grpc.WithDisableRetry(),
 			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(p.Dial),
-			grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(p.Idle-p.Idle/8))
+			grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPart+64<<10)), grpc.WithIdleTimeout(p.Idle-p.Idle/8))
 		if err != nil {
 			<-p.Slots
 			p.mu.Unlock()
--- a/internal/flight/server.go
+++ b/internal/flight/server.go
@@ -26,6 +26,7 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -38,10 +39,14 @@
 	{Name: "shard", Type: arrow.PrimitiveTypes.Int32}, {Name: "doc", Type: arrow.BinaryTypes.Binary},
 }, nil)
 
-// batchRows and batchBytes bound a record batch of an answer.
 const (
+	// batchRows and batchBytes bound a record batch of an answer.
 	batchRows  = 1024
 	batchBytes = 256 << 10
+	// A connection must have greeted within greetTime, and is closed after restTime without a call, as on the
+	// platform's front.
+	greetTime = 2 * time.Second
+	restTime  = 30 * time.Second
 )
 
 // Server serves Flight clients.
@@ -57,7 +62,8 @@
 // NewServer returns a server in front of the core. Answers that are being read may hold limit bytes in all.
 func NewServer(c *core.Core, log *slog.Logger, limit int64) *Server {
 	s := &Server{core: c, log: log, limit: limit, grpc: grpc.NewServer(grpc.MaxRecvMsgSize(ask.MaxBytes),
-		grpc.MaxConcurrentStreams(256), grpc.MaxHeaderListSize(16<<10))}
+		grpc.MaxConcurrentStreams(256), grpc.MaxHeaderListSize(16<<10), grpc.ConnectionTimeout(greetTime),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: restTime}))}
 	flight.RegisterFlightServiceServer(s.grpc, s)
 	return s
 }
--- a/internal/flight/server_test.go
+++ b/internal/flight/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -129,6 +130,26 @@
 	}
 }
 
+// TestSilentConnection: a connection that never greets is closed within 3 s; it held its place for two minutes.
+func TestSilentConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(nil, slog.New(slog.DiscardHandler), 1<<20)
+	go s.Serve(ln, 9)
+	t.Cleanup(s.Stop)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.Copy(io.Discard, nc); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("it is still open after 3 s")
+	}
+}
+
 // TestFlightInfo: the usual way of a Flight client, from a descriptor to an endpoint's ticket.
 func TestFlightInfo(t *testing.T) {
 	client := newClient(t, 1<<20, 1, 1)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -19,6 +19,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"gullfall/internal/ask"
 	"gullfall/internal/core"
@@ -425,7 +426,11 @@
 	}
 	switch answer.Verdict {
 	case core.Answered:
-		body := answerBody(answer)
+		body, err := answerBody(answer)
+		if err != nil {
+			c.f.Log.Error("answer not fit for the protocol", "query", q.ID, "cause", err)
+			return c.write(end, 500, nil, errorBody("answer can't be passed on"), req.close)
+		}
 		if len(body) > maxBody {
 			c.f.Log.Error("answer too large for the protocol", "query", q.ID, "bytes", len(body))
 			return c.write(end, 500, nil, errorBody("answer too large"), req.close)
@@ -458,7 +463,8 @@
 	return q, nil
 }
 
-func answerBody(a core.Answer) []byte {
+// answerBody is an answer as clients get it. A document that is no text could only be passed on changed.
+func answerBody(a core.Answer) ([]byte, error) {
 	type hit struct {
 		Shard int    `json:"shard"`
 		Doc   string `json:"doc"`
@@ -469,11 +475,13 @@
 	}{a.Whole, []hit{}}
 	for _, h := range a.Hits {
 		for _, doc := range h.Docs {
+			if !utf8.Valid(doc) {
+				return nil, fmt.Errorf("document of shard %d is no text", h.Shard)
+			}
 			body.Hits = append(body.Hits, hit{h.Shard, string(doc)})
 		}
 	}
-	data, _ := json.Marshal(body)
-	return data
+	return json.Marshal(body)
 }
 
 func errorBody(text string) []byte {
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -840,3 +841,14 @@
 	clear(p)
 	return len(p), nil
 }
+
+// TestAnswerBody: documents go to clients as they came or not at all; JSON would change what is no text.
+func TestAnswerBody(t *testing.T) {
+	for doc, fit := range map[string]bool{"d\u00e9j\u00e0 \"vu\"\n": true, "\xff\xfe": false} {
+		body, err := answerBody(core.Answer{Whole: true, Hits: []core.Hit{{Shard: 1, Docs: [][]byte{[]byte(doc)}}}})
+		var got struct{ Hits []struct{ Doc string } }
+		if (err == nil) != fit || fit && (json.Unmarshal(body, &got) != nil || got.Hits[0].Doc != doc) {
+			t.Errorf("%q: %s, %v", doc, body, err)
+		}
+	}
+}
