Hold of a body what has come, and leave short ones always room

Found by reading: reserve in platform/clients.go booked what a request announced, 64 KiB for each body in chunks. 64 half-sent requests of bad clients took all of the 4 MB, and usual clients were refused for 2 s with no word of when to come back. Now 4 KiB of each body come in free, bounded by the places for connections; only longer ones need room. The front's own refusal carries Retry-After where the settings allow it, and the one of a full core no longer does where they don't. Tests: the scenario "long bodies that stop coming"; each scenario now ends with no connection, body or query accounted for, and TestNodesAreForgotten does the same for data nodes.

--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -114,7 +114,7 @@
 		most -= cfg.Limits.Sockets / 8
 	}
 	clients := &platform.Clients{Core: c, Log: log, Most: most, Busy: cfg.Limits.Sockets / 3,
-		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16}
+		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16, Again: c.Again()}
 	served := make(chan error, 2)
 	go func() { served <- clients.Serve(ln) }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -279,7 +279,7 @@
 	}
 	c.mu.Unlock()
 	if full {
-		return Answer{Verdict: Refused, After: c.set.Limits.MaxRetryAfter / 2}, nil
+		return Answer{Verdict: Refused, After: c.Again()}, nil
 	}
 	inputs := []input{{ask: q}}
 	tenant, known := c.tenants[asked.Owner]
@@ -304,6 +304,14 @@
 	}
 }
 
+// Again is when who is turned away at the door may come back; 0 where the settings allow no such advice.
+func (c *Core) Again() time.Duration {
+	if !c.set.Limits.RetryAfter {
+		return 0
+	}
+	return c.set.Limits.MaxRetryAfter / 2
+}
+
 // Open counts the queries and parts held.
 func (c *Core) Open() int {
 	c.mu.Lock()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -296,3 +296,25 @@
 		})
 	}
 }
+
+// TestNodesAreForgotten: data nodes come under new names for as long as the program runs. What is kept of one ends
+// with it, its carrier included (or the test would not end).
+func TestNodesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, 0, serve)
+		for i := range 100 {
+			s.fleet.Change([]Member{{ID: fmt.Sprint("r", i), State: Gone}, {ID: fmt.Sprint("r", i+1)}})
+			if got := s.ask(t.Context(), fmt.Sprint("q", i), 0, 1, 2, 3); got != "1 true 4 false" {
+				t.Errorf("query %d: %s", i, got)
+			}
+		}
+		synctest.Wait()
+		if len(s.Core.nodes) != 2 || len(s.fleet.nodes) != 2 {
+			t.Errorf("%d data nodes are known, %d of the source", len(s.Core.nodes), len(s.fleet.nodes))
+		}
+		if len(s.queries)+len(s.parts)+len(s.attempts)+len(s.held)+s.Open() > 0 {
+			t.Errorf("still held: %d queries, %d parts, %d attempts", len(s.queries), len(s.parts), len(s.attempts))
+		}
+		s.end()
+	})
+}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -28,6 +28,8 @@
 const (
 	maxBody   = ask.MaxBytes
 	maxHeader = 16 << 10
+	// So much of a body may always come in; of longer ones only as many at once as Hold has room for.
+	freeBody = 4 << 10
 	// A connection must have brought its first request whole within firstTime, and each further one within
 	// readTime of its first byte. One that rests for longer than restTime is closed; a client that comes back
 	// opens another.
@@ -64,7 +66,9 @@
 	Log  *slog.Logger
 	Most int   // connections that may be open
 	Busy int   // connections with requests that clients may have; from half of it on they are kept no longer than need be
-	Hold int64 // bytes of bodies that may be held while their requests come in
+	Hold int64 // bytes that longer bodies may take while they come in
+	// Again is when to come back, told with a refusal of the front's own; 0 where nothing may be told.
+	Again time.Duration
 
 	mu       sync.Mutex
 	conns    map[*client]bool
@@ -230,7 +234,11 @@
 		req, err := c.read()
 		var re *refusal
 		if errors.As(err, &re) {
-			c.write(time.Now().Add(writeTime), re.status, nil, errorBody(re.text), true)
+			var extra []byte
+			if re.status == 503 {
+				extra = retryAfter(c.f.Again)
+			}
+			c.write(time.Now().Add(writeTime), re.status, extra, errorBody(re.text), true)
 			c.linger()
 			return
 		}
@@ -341,15 +349,16 @@
 	req := &request{method: words[0], path: path, header: header,
 		close: words[2] == "HTTP/1.0" || strings.EqualFold(header.Get("Connection"), "close")}
 	// A request with a length and a coding may hide another in its body: nothing after the head is read.
-	size := int64(0)
+	size := int64(maxBody) + 1
 	coding, coded := header["Transfer-Encoding"]
 	length, sized := header["Content-Length"]
 	switch {
 	case coded && (sized || !strings.EqualFold(coding[0], "chunked")):
 		return nil, bad(400, "framing of the body")
 	case coded:
-		size = maxBody
-	case sized:
+	case !sized:
+		size = 0
+	default:
 		n, bogus := strconv.ParseUint(length[0], 10, 63)
 		if bogus != nil {
 			return nil, bad(400, "Content-Length %.40q", length[0])
@@ -359,18 +368,16 @@
 		}
 		size = int64(n)
 	}
-	if !c.f.reserve(size) {
-		return nil, bad(503, "too many bodies are on their way")
-	}
-	defer c.f.reserve(-size)
 	if strings.EqualFold(header.Get("Expect"), "100-continue") {
 		c.nc.SetWriteDeadline(time.Now().Add(writeTime))
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	c.limit.N = maxBody + maxHeader // the chunks' own lines included
+	var body io.Reader = c.in.R
 	if coded {
-		req.body, err = io.ReadAll(io.LimitReader(&chunks{in: c.in}, maxBody+1))
-	} else if req.body, err = io.ReadAll(io.LimitReader(c.in.R, size)); err == nil && int64(len(req.body)) < size {
+		body = &chunks{in: c.in}
+	}
+	if req.body, err = c.body(io.LimitReader(body, size)); err == nil && !coded && int64(len(req.body)) < size {
 		err = io.ErrUnexpectedEOF
 	}
 	if len(req.body) > maxBody {
@@ -382,10 +389,27 @@
 	return req, nil
 }
 
+// body takes in a body, holding no more memory than it has brought or there is room for.
+func (c *client) body(in io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(in, freeBody))
+	if err != nil || len(body) < freeBody {
+		return body, err
+	}
+	if !c.f.reserve(maxBody) {
+		return nil, bad(503, "too many long bodies are on their way")
+	}
+	defer c.f.reserve(-maxBody)
+	rest, err := io.ReadAll(in)
+	return append(body, rest...), err
+}
+
 // cut tells a request that is too large, too slow or malformed from a connection that ended.
 func (c *client) cut(err error) error {
 	var ne net.Error
+	var re *refusal
 	switch {
+	case errors.As(err, &re):
+		return err
 	case c.limit.N <= 0:
 		return bad(431, "request too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -437,11 +461,7 @@
 		}
 		return c.write(end, 200, nil, body, req.close)
 	case core.Refused:
-		var extra []byte
-		if answer.After > 0 {
-			extra = fmt.Appendf(nil, "Retry-After: %.3f\r\n", answer.After.Seconds())
-		}
-		return c.write(end, 503, extra, errorBody("refused"), req.close)
+		return c.write(end, 503, retryAfter(answer.After), errorBody("refused"), req.close)
 	}
 	return c.write(end, 500, nil, errorBody("failed"), req.close)
 }
@@ -489,6 +509,14 @@
 	return data
 }
 
+// retryAfter is the header that tells when to come back, if anything may be told.
+func retryAfter(d time.Duration) []byte {
+	if d <= 0 {
+		return nil
+	}
+	return fmt.Appendf(nil, "Retry-After: %.3f\r\n", d.Seconds())
+}
+
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	503: "Service Unavailable"}
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -162,6 +162,22 @@
 		c4 expect 200 {}
 		c2 expect end
 		c1 expect -`},
+	// Guards memory and usual clients: two long bodies that don't come on leave no room for a third, but a short one
+	// needs none.
+	{"long bodies that stop coming", "n1", `
+		c1 send part 60000 5000
+		c2 send part 60000 5000
+		c3 send part 60000 5000
+		c3 expect 503 after close
+		c3 expect end
+		c4 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c4 expect 200
+		wait 2s
+		c1 expect 408 close
+		c5 send part 60000 60000
+		c5 expect 400`},
 	// Guards usual clients: nine connections may be open; the silent go first, then those that rest.
 	{"idle connections make room for others", "n1", `
 		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
@@ -497,7 +513,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	w := &world{t: t, actors: map[string]*actor{}, ended: ctx,
-		clients: &Clients{Core: c, Log: log, Most: 9, Hold: 1 << 20}}
+		clients: &Clients{Core: c, Log: log, Most: 9, Hold: 2 * maxBody, Again: time.Second}}
 	go c.Run(ctx)
 	carrier := &Nodes{Core: c, Log: log, Dial: w.dial, Streams: 32, Connect: set.Limits.ConnectTimeout,
 		Idle: set.Limits.ConnIdle, Slots: make(chan struct{}, 9)}
@@ -551,7 +567,7 @@
 			t.Fatalf("line %d: verb %q", i+1, words[1])
 		}
 	}
-	// Everything is given back: with no data node listed and no client left, nothing may go on running.
+	// Everything is given back, what is kept for connections, clients and data nodes included: with no data node listed and no client left, nothing may go on running.
 	unwatch()
 	for _, a := range w.actors {
 		if a.nc != nil && a.name[0] != 'n' {
@@ -571,6 +587,9 @@
 	if len(carrier.Slots) > 0 {
 		t.Errorf("%d connections were not given back", len(carrier.Slots))
 	}
+	if f := w.clients; len(f.conns)+f.used > 0 || f.held > 0 {
+		t.Errorf("%d client connections, %d of them used, and %d bytes are still held", len(f.conns), f.used, f.held)
+	}
 	if c.Open() > 0 {
 		t.Errorf("%d queries and parts are still held", c.Open())
 	}
@@ -728,6 +747,9 @@
 		if data, err = strconv.Unquote(strings.TrimPrefix(text, "raw ")); err != nil {
 			w.t.Fatal(err)
 		}
+	case words[0] == "part":
+		n, _ := strconv.Atoi(words[2])
+		data = "POST /report HTTP/1.1\r\nContent-Length: " + words[1] + "\r\n\r\n" + strings.Repeat("x", n)
 	case text == "long":
 		data = "GET /up HTTP/1.1\r\nX: " + strings.Repeat("x", 200_000) + "\r\n\r\n"
 	case words[0] == "query":
