--- a/cmd/gullfall/main_test.go
+++ b/cmd/gullfall/main_test.go
@@ -30,6 +30,11 @@
  "FamilyInfo":{"Sets":1,"Slabs":4,"Width":1,"BundleMax":8},
  "Limits":{"Cancel":true,"SendCap":3,"ConnectTimeoutS":0.25,"ConnIdleS":30,"StreamsPerConn":32,"RetryAfter":true,"MaxRetryAfterS":2}}`
 
+// serve runs the daemon without its log.
+func serve() error {
+	return run(new(slog.LevelVar), func(string) *slog.Logger { return slog.New(slog.DiscardHandler) })
+}
+
 // free is an address that nobody listens on.
 func free(t *testing.T, network string) string {
 	t.Helper()
@@ -69,8 +74,8 @@
 	dir := t.TempDir()
 	t.Chdir(dir)
 	listen, second, records := free(t, "tcp"), free(t, "tcp"), free(t, "udp")
-	deploy := fmt.Sprintf("[flight]\nlisten = %q\n[dnssd]\nresolver = %q\nserve = %q\n[store]\ndirectory = %q\n", second,
-		records, records, filepath.Join(dir, "store"))
+	deploy := fmt.Sprintf("[flight]\nlisten = %q\n[dnssd]\nserve = %q\n[store]\ndirectory = %q\n", second,
+		records, filepath.Join(dir, "store"))
 	if err := os.Mkdir("deploy", 0o755); err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +90,7 @@
 			t.Fatal(err)
 		}
 		ended := make(chan error, 1)
-		go func() { ended <- run(slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+		go func() { ended <- serve() }()
 		for end := time.Now().Add(20 * time.Second); get(listen, "/up") != "HTTP/1.1 200 OK"; time.Sleep(10 * time.Millisecond) {
 			select {
 			case err := <-ended:
@@ -173,7 +178,7 @@
 	}
 	write(first)
 	ended := make(chan error, 1)
-	go func() { ended <- run(slog.New(slog.DiscardHandler)) }()
+	go func() { ended <- serve() }()
 	expect("first")
 	for _, to := range []struct{ addr, watch string }{{"nowhere", ""}, {second, "second"}, {first, "first"}} {
 		write(to.addr)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,8 @@
 	"reflect"
 	"strconv"
 
+	"github.com/tailscale/hujson"
+
 	"gullfall/aggregator"
 )
 
@@ -89,6 +91,13 @@
 		Limits                        Limits
 		Known, Settings               json.RawMessage
 	}
+	if !json.Valid(raw) { // comments and trailing commas are allowed
+		plain, err := hujson.Standardize(raw)
+		if err != nil {
+			return Config{}, fmt.Errorf("configuration: %w", err)
+		}
+		raw = plain
+	}
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// TestComments: the file may carry comments and trailing commas; a fault behind them is still found.
+func TestComments(t *testing.T) {
+	text := strings.Replace(good, "{", "{ // the coordinator of Recife\n/* its */", 1)
+	if _, err := load(text, nil); err != nil {
+		t.Error(err)
+	}
+	if _, err := load(text+"}", nil); err == nil {
+		t.Error("a brace too many was taken")
+	}
+}
+
 func TestDeployFile(t *testing.T) {
 	dir := t.TempDir()
 	for i, c := range []struct{ text, key string }{
@@ -72,7 +83,25 @@
 		{"[flight]\nconnections = -1", "flight.connections"},
 		{"[flight]\nlissten = \"\"", "flight.lissten"},
 		{"[dnssd]\nserve = \"127.0.0.1:5353\"", "dnssd.serve"},
-		{"[dnssd]\nnodes = \"node\"", "dnssd.nodes"},
+		{"[dnssd]\nnodes = \"node\"", "dnssd.nodes: unknown"},
+		{"[dnssd]\npoll = \"2s\"", "dnssd.poll"},
+		{"[dnssd]\npoll = \"soon\"", "soon"},
+		{"[dnssd]\nquestions_per_s = 1", "dnssd.questions_per_s"},
+		{"[dnssd]\nnetworks = [\"10\"]", "dnssd.networks"},
+		{"[dnssd]\nnotify = \"127.0.0.1:53\"", "dnssd.allow"},
+		{"[dnssd]\nnotify = \"127.0.0.1:53\"\nallow = [\"127.0.0.0/8\"]", ""},
+		{"[[dnssd.zone]]\ndomain = \"example.org\"", "dnssd.zone[0].servers"},
+		{"[[dnssd.zone]]\ndomain = \"example.org\"\nservers = [\"192.0.2.1:53\"]", "dnssd.zone[0].servers[0]"},
+		{"[[dnssd.zone]]\ndomain = \"example.org\"\nservers = [\"127.0.0.1:53\"]\nservices = [\"dn\"]", "dnssd.zone[0].services"},
+		{"[[dnssd.zone]]\ndomain = \"example.org\"\nservers = [\"127.0.0.1:53\"]\nkey = \"k\"", "dnssd.zone[0].key"},
+		{"[[dnssd.zone]]\ndomain = \"example.org\"\nservers = [\"127.0.0.1:53\"]\nkey = \"k\"\n[[dnssd.key]]\nname = \"k\"\nsecret = \"c2VjcmV0\"", ""},
+		{"[[dnssd.key]]\nname = \"k\"\nsecret = \"?\"", "dnssd.key[0]"},
+		{"[membership]\nreuse = 9000", "membership.reuse"},
+		{"[log]\nlevel = \"loud\"", "log.level"},
+		{"[log]\nformat = \"xml\"", "log.format"},
+		{"[[node]]\nid = \"a\"\naddr = \"127.0.0.1:1\"\n[[node]]\nid = \"a\"\naddr = \"127.0.0.1:2\"", "node[1].id"},
+		{"[[node]]\nid = \"a\"\naddr = \"127.0.0.1:1\"\nproto = \"smoke\"", "node[0].proto"},
+		{"[log]\nlevel = \"loud\"\n[flight]\nlisten = \"here\"", "flight.listen"}, // every one is named
 		{"[store]\nlisten = \"127.0.0.1:8300\"", "store.listen"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n1\"\naddr = \"127.0.0.1:8300\"", "store.peer"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"x\"", "store.peer[0].addr"},
@@ -96,7 +125,7 @@
 // platform needs it.
 func TestShippedDeployFile(t *testing.T) {
 	d, err := LoadDeploy("../../"+DeployFile, "n0")
-	if err != nil || d.Flight.Listen != "" || d.DNSSD.Resolver != "" || d.DNSSD.Serve != "" || d.Store.Directory != "" ||
+	if err != nil || d.Flight.Listen != "" || len(d.DNSSD.Zone) != 0 || d.DNSSD.Notify != "" || d.DNSSD.Serve != "" || d.Store.Directory != "" ||
 		d.Store.Listen != "" {
 		t.Errorf("%+v, %v", d, err)
 	}
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -1,31 +1,101 @@
 package config
 
 // This file owns our own file below deploy/: its form, its checks and its defaults. It must never turn on what
-// the file does not name.
+// the file does not name, and a check names every faulty key, not only the first.
 
 import (
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io/fs"
+	"log/slog"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
+	"github.com/gaissmai/bart"
+	"github.com/miekg/dns"
+
+	"gullfall/internal/dnssd"
+	"gullfall/internal/membership"
 )
 
 // DeployFile is where the file of ours lies, seen from the repository's root.
 const DeployFile = "deploy/gullfall.toml"
 
-// Deploy is what our own file says: the second front, the records, and the store.
+// Deploy is what our own file says: the log, the second front, the records, who is there, and the store.
 type Deploy struct {
-	Flight struct {
-		Listen      string
-		Connections int
-	}
-	DNSSD struct {
-		Resolver, Serve, Domain, Nodes string
+	Log        Log
+	Flight     FlightFront
+	DNSSD      DNSSD
+	Membership Membership
+	Node       []Node
+	Store      Store
+}
+
+// Log is how much is logged, and how.
+type Log struct {
+	Level  string // debug, info, warn or error
+	Format string // text or json
+}
+
+// FlightFront is the second front.
+type FlightFront struct {
+	Listen      string
+	Connections int
+}
+
+// DNSSD is what is browsed, and what is described.
+type DNSSD struct {
+	Serve, Domain string
+	Networks      []string
+	Questions     float64 `toml:"questions_per_s"`
+	Poll          Span
+	Stale         Span
+	Notify        string
+	Allow         []string
+	Zone          []Zone
+	Key           []Key
+}
+
+// Zone is a domain that is browsed.
+type Zone struct {
+	Domain   string
+	Services []string
+	Servers  []string
+	Transfer bool
+	Key      string
+}
+
+// Key signs messages (RFC 8945).
+type Key struct{ Name, Algorithm, Secret string }
+
+// Membership is how returns are damped (RFC 2439).
+type Membership struct {
+	HalfLife        Span `toml:"half_life"`
+	Suppress, Reuse float64
+	Longest         Span
+}
+
+// Node is a data node that is always named.
+type Node struct {
+	ID, Addr, Zone, Proto string
+	Cell                  int
+	Weight                float64
+}
+
+// Span is a length of time, written as "1m30s".
+type Span time.Duration
+
+// UnmarshalText reads a Span.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err == nil && d < 0 {
+		err = fmt.Errorf("%v is negative", d)
 	}
-	Store Store
+	*s = Span(d)
+	return err
 }
 
 // Store is where configuration and state are kept.
@@ -45,61 +115,269 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return d, fmt.Errorf("%s: %w", path, err)
 	}
-	if unknown := md.Undecoded(); len(unknown) > 0 {
-		return d, fmt.Errorf("%s: %s: unknown key", path, unknown[0])
+	var faults []error
+	for _, key := range md.Undecoded() {
+		faults = append(faults, fmt.Errorf("%s: unknown key", key))
 	}
-	if err := d.check(name); err != nil {
-		return d, fmt.Errorf("%s: %w", path, err)
+	d.defaults()
+	faults = append(faults, d.check(name)...)
+	for i, err := range faults {
+		faults[i] = fmt.Errorf("%s: %w", path, err)
 	}
-	return d, nil
+	return d, errors.Join(faults...)
+}
+
+// Check fills in defaults and names every faulty key of a Deploy that was made by hand.
+func (d *Deploy) Check(name string) error {
+	d.defaults()
+	return errors.Join(d.check(name)...)
 }
 
-// check fills in defaults and names the first faulty key.
-func (d *Deploy) check(name string) error {
+func (d *Deploy) defaults() {
+	for _, v := range []struct {
+		to *string
+		by string
+	}{{&d.Log.Level, "info"}, {&d.Log.Format, "text"}, {&d.DNSSD.Domain, "local."}} {
+		if *v.to == "" {
+			*v.to = v.by
+		}
+	}
 	if d.Flight.Connections == 0 {
 		d.Flight.Connections = 128
 	}
+	if d.DNSSD.Questions == 0 {
+		d.DNSSD.Questions = 400
+	}
+	if d.DNSSD.Poll == 0 {
+		d.DNSSD.Poll = Span(dnssd.DefaultPoll)
+	}
+	if d.DNSSD.Stale == 0 {
+		d.DNSSD.Stale = Span(time.Hour)
+	}
+	if len(d.DNSSD.Networks) == 0 {
+		d.DNSSD.Networks = []string{"127.0.0.0/8", "::1/128"}
+	}
+	d.DNSSD.Domain = dns.Fqdn(strings.ToLower(d.DNSSD.Domain))
+	for i := range d.DNSSD.Zone {
+		z := &d.DNSSD.Zone[i]
+		z.Domain = dns.Fqdn(strings.ToLower(z.Domain))
+		if len(z.Services) == 0 {
+			z.Services = []string{"_dn._tcp"}
+		}
+	}
+	for i := range d.DNSSD.Key {
+		k := &d.DNSSD.Key[i]
+		if k.Name = dns.CanonicalName(k.Name); k.Algorithm == "" {
+			k.Algorithm = dns.HmacSHA256
+		}
+		k.Algorithm = dns.Fqdn(k.Algorithm)
+	}
+	for i := range d.Node {
+		if d.Node[i].Weight == 0 {
+			d.Node[i].Weight = 1
+		}
+	}
+}
+
+// check names the faulty keys.
+func (d *Deploy) check(name string) (faults []error) {
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	addr := func(key, addr string) {
+		if addr == "" {
+			return
+		}
+		if ap, err := netip.ParseAddrPort(addr); err != nil {
+			fault("%s: %w", key, err)
+		} else if !ap.Addr().IsLoopback() {
+			fault("%s: %s is not a loopback address", key, addr)
+		}
+	}
+	if _, known := levels[d.Log.Level]; !known {
+		fault("log.level: %q is none of debug, info, warn, error", d.Log.Level)
+	}
+	if d.Log.Format != "text" && d.Log.Format != "json" {
+		fault("log.format: %q is neither text nor json", d.Log.Format)
+	}
+	addr("flight.listen", d.Flight.Listen)
 	if d.Flight.Connections < 0 {
-		return fmt.Errorf("flight.connections: %d is negative", d.Flight.Connections)
+		fault("flight.connections: %d is negative", d.Flight.Connections)
 	}
-	if d.DNSSD.Domain == "" {
-		d.DNSSD.Domain = "local."
+	faults = append(faults, d.DNSSD.check()...)
+	if d.DNSSD.Serve != "" && d.Flight.Listen == "" {
+		fault("dnssd.serve: there is no service to describe while flight.listen is empty")
 	}
-	d.DNSSD.Domain = strings.TrimSuffix(d.DNSSD.Domain, ".") + "."
-	if d.DNSSD.Nodes == "" {
-		d.DNSSD.Nodes = "_gullfall-node._tcp"
+	if err := d.Damping().Check(); err != nil {
+		fault("membership.suppress, membership.reuse: %w", err)
 	}
-	if labels := strings.Split(d.DNSSD.Nodes, "."); len(labels) != 2 || labels[0] == "" || labels[0][0] != '_' ||
-		labels[1] != "_tcp" {
-		return fmt.Errorf("dnssd.nodes: %q is not of the form _name._tcp", d.DNSSD.Nodes)
+	seen := map[string]bool{}
+	for i, n := range d.Node {
+		key := fmt.Sprintf("node[%d]", i)
+		if n.ID == "" || seen[n.ID] {
+			fault("%s.id: %q is missing or another's", key, n.ID)
+		}
+		seen[n.ID] = true
+		if n.Addr == "" {
+			fault("%s.addr: missing", key)
+		}
+		addr(key+".addr", n.Addr)
+		if n.Proto != "" && n.Proto != "frames" && n.Proto != "flight" {
+			fault("%s.proto: %q is neither frames nor flight", key, n.Proto)
+		}
+		if n.Cell < 0 || !(n.Weight > 0) {
+			fault("%s: cell or weight is negative", key)
+		}
 	}
-	addrs := []struct{ key, addr string }{{"flight.listen", d.Flight.Listen}, {"dnssd.resolver", d.DNSSD.Resolver},
-		{"dnssd.serve", d.DNSSD.Serve}, {"store.listen", d.Store.Listen}}
+	addr("store.listen", d.Store.Listen)
 	self := false
 	for i, p := range d.Store.Peer {
 		if p.Name == "" || p.Addr == "" {
-			return fmt.Errorf("store.peer[%d]: name and addr are needed", i)
+			fault("store.peer[%d]: name and addr are needed", i)
 		}
 		self = self || p.Name == name
-		addrs = append(addrs, struct{ key, addr string }{fmt.Sprintf("store.peer[%d].addr", i), p.Addr})
-	}
-	for _, a := range addrs {
-		if a.addr == "" {
-			continue
-		}
-		if ap, err := netip.ParseAddrPort(a.addr); err != nil {
-			return fmt.Errorf("%s: %w", a.key, err)
-		} else if !ap.Addr().IsLoopback() {
-			return fmt.Errorf("%s: %s is not a loopback address", a.key, a.addr)
-		}
+		addr(fmt.Sprintf("store.peer[%d].addr", i), p.Addr)
 	}
 	switch {
-	case d.DNSSD.Serve != "" && d.Flight.Listen == "":
-		return fmt.Errorf("dnssd.serve: there is no service to describe while flight.listen is empty")
 	case (d.Store.Listen != "") != (len(d.Store.Peer) > 0):
-		return fmt.Errorf("store.listen, store.peer: one needs the other")
+		fault("store.listen, store.peer: one needs the other")
 	case len(d.Store.Peer) > 0 && !self:
-		return fmt.Errorf("store.peer: this coordinator, %q, is not among them", name)
+		fault("store.peer: this coordinator, %q, is not among them", name)
+	}
+	return faults
+}
+
+// check names the faulty keys of the records' part.
+func (d *DNSSD) check() (faults []error) {
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	loop := func(key, addr string) {
+		if ap, err := netip.ParseAddrPort(addr); err != nil {
+			fault("%s: %w", key, err)
+		} else if !ap.Addr().IsLoopback() {
+			fault("%s: %s is not a loopback address", key, addr)
+		}
+	}
+	if d.Serve != "" {
+		loop("dnssd.serve", d.Serve)
+	}
+	if d.Notify != "" {
+		if loop("dnssd.notify", d.Notify); len(d.Allow) == 0 {
+			fault("dnssd.allow: empty; dnssd.notify needs to know whose messages count")
+		}
+	}
+	if _, ok := dns.IsDomainName(d.Domain); !ok {
+		fault("dnssd.domain: %q is no domain", d.Domain)
+	}
+	for _, v := range []struct {
+		key  string
+		list []string
+	}{{"dnssd.networks", d.Networks}, {"dnssd.allow", d.Allow}} {
+		if _, err := networks(v.list); err != nil {
+			fault("%s: %w", v.key, err)
+		}
+	}
+	if !(d.Questions >= 4) {
+		fault("dnssd.questions_per_s: %g is under 4", d.Questions)
+	}
+	if p := time.Duration(d.Poll); p < 50*time.Millisecond || p > 500*time.Millisecond {
+		fault("dnssd.poll: %v is not within 50ms and 500ms", p)
+	}
+	keys := map[string]bool{}
+	for i, k := range d.Key {
+		if _, err := base64.StdEncoding.DecodeString(k.Secret); err != nil || k.Secret == "" || k.Name == "." {
+			fault("dnssd.key[%d]: name and a secret in base64 are needed", i)
+		}
+		if !strings.HasPrefix(k.Algorithm, "hmac-sha") {
+			fault("dnssd.key[%d].algorithm: %q is none of hmac-sha1, -sha224, -sha256, -sha384, -sha512", i, k.Algorithm)
+		}
+		keys[k.Name] = true
+	}
+	seen := map[string]bool{}
+	for i, z := range d.Zone {
+		key := fmt.Sprintf("dnssd.zone[%d]", i)
+		if _, ok := dns.IsDomainName(z.Domain); !ok || z.Domain == "." {
+			fault("%s.domain: %q is no domain", key, z.Domain)
+		}
+		if seen[z.Domain] {
+			fault("%s.domain: %q is there twice", key, z.Domain)
+		}
+		seen[z.Domain] = true
+		for _, s := range z.Services {
+			if labels := strings.Split(s, "."); len(labels) != 2 || !strings.HasPrefix(labels[0], "_") || len(labels[0]) < 2 ||
+				labels[1] != "_tcp" {
+				fault("%s.services: %q is not of the form _name._tcp", key, s)
+			}
+		}
+		if len(z.Servers) == 0 {
+			fault("%s.servers: empty", key)
+		}
+		for j, s := range z.Servers {
+			loop(fmt.Sprintf("%s.servers[%d]", key, j), s)
+		}
+		if z.Key != "" && !keys[dns.CanonicalName(z.Key)] {
+			fault("%s.key: no dnssd.key has the name %q", key, z.Key)
+		}
+	}
+	return faults
+}
+
+var levels = map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn,
+	"error": slog.LevelError}
+
+// SlogLevel is the level as the log has it.
+func (l Log) SlogLevel() slog.Level { return levels[l.Level] }
+
+// Damping is the part of the membership's figures that the file has.
+func (d *Deploy) Damping() membership.Config {
+	m := d.Membership
+	return membership.Config{HalfLife: time.Duration(m.HalfLife), Suppress: m.Suppress, Reuse: m.Reuse,
+		MaxSuppress: time.Duration(m.Longest)}
+}
+
+// Fixed are the data nodes that the file names.
+func (d *Deploy) Fixed() (list []membership.Record) {
+	for _, n := range d.Node {
+		r := membership.Record{ID: n.ID, Addr: n.Addr, Zone: n.Zone, Cell: n.Cell, Weight: n.Weight, Unstated: true}
+		if n.Proto == "flight" {
+			r.Proto = dnssd.Flight
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// Zones are the zones to be followed; the file has been checked.
+func (d *DNSSD) Zones() (list []dnssd.Zone) {
+	allowed, _ := networks(d.Networks)
+	for _, z := range d.Zone {
+		out := dnssd.Zone{Domain: z.Domain, Services: z.Services, Servers: z.Servers, Transfer: z.Transfer, Networks: allowed}
+		for _, k := range d.Key {
+			if z.Key != "" && k.Name == dns.CanonicalName(z.Key) {
+				out.Key = &dnssd.Key{Name: k.Name, Algorithm: k.Algorithm, Secret: k.Secret}
+			}
+		}
+		list = append(list, out)
+	}
+	return list
+}
+
+// Allowed are the addresses whose NOTIFY messages count; the file has been checked.
+func (d *DNSSD) Allowed() *bart.Lite {
+	set, _ := networks(d.Allow)
+	return set
+}
+
+// networks reads a set of addresses, as "10.1.0.0/16" or "10.1.0.7".
+func networks(list []string) (*bart.Lite, error) {
+	set := new(bart.Lite)
+	for _, s := range list {
+		p, err := netip.ParsePrefix(s)
+		if err != nil {
+			a, single := netip.ParseAddr(s)
+			if single != nil {
+				return set, fmt.Errorf("%q is neither a network nor an address", s)
+			}
+			p = netip.PrefixFrom(a, a.BitLen())
+		}
+		set.Insert(p.Masked())
 	}
-	return nil
+	return set, nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"gullfall/aggregator"
+	"gullfall/internal/membership"
 )
 
 // ErrInput marks a query that never reached the module: what was asked can't be understood.
@@ -114,25 +115,6 @@
 	CloseIdle bool       // idle connections are to be closed
 }
 
-// State is what a list says of a data node.
-type State int
-
-// The states of a data node.
-const (
-	Serving State = iota
-	Draining
-	Gone
-)
-
-// Member is one entry of a list of data nodes.
-type Member struct {
-	ID, Addr, Zone string
-	Cell           int
-	State          State
-	Weight         float64
-	Started        time.Time // zero means long ago
-}
-
 type query struct {
 	Query
 	parts []*part
@@ -173,9 +155,12 @@
 	mu      sync.Mutex // guards what follows and nodes' fields; never held over Step
 	inbox   []input
 	nodes   map[string]*Node
-	fleets  []*Fleet
 	pending int // queries and parts held, those in the inbox included
 
+	table    *membership.Table
+	carriers map[string]Carry // by protocol
+	listed   bool             // some source has told a whole list
+
 	// The loop's own.
 	agg      *aggregator.Aggregator
 	queries  map[string]*query
@@ -189,12 +174,22 @@
 
 // New returns a core for the settings; the seed settles the module's random choices.
 func New(set aggregator.Settings, seed uint64, log *slog.Logger) (*Core, error) {
+	return NewWith(set, seed, log, membership.Config{})
+}
+
+// NewWith is New with figures of its own for who counts as there; which cells hold a shard is the settings' to say.
+func NewWith(set aggregator.Settings, seed uint64, log *slog.Logger, who membership.Config) (*Core, error) {
 	agg, err := aggregator.New(set, seed)
 	if err != nil {
 		return nil, err
 	}
+	who.Cells, who.Shards, who.Reach = set.Cells, set.Shards, set.Reach
+	table, err := membership.New(who)
+	if err != nil {
+		return nil, err
+	}
 	c := &Core{set: set, seed: seed, log: log, start: time.Now(), classes: map[string]int{}, tenants: map[string]int{},
-		notify: make(chan struct{}, 1), nodes: map[string]*Node{}, agg: agg, queries: map[string]*query{},
+		notify: make(chan struct{}, 1), nodes: map[string]*Node{}, table: table, carriers: map[string]Carry{}, agg: agg, queries: map[string]*query{},
 		parts: map[string]*part{}, attempts: map[*Attempt]bool{}}
 	for i, class := range set.Classes {
 		c.classes[class.Name] = i
@@ -213,6 +208,11 @@
 	c.mu.Lock()
 	c.inbox = append(c.inbox, inputs...)
 	c.mu.Unlock()
+	c.wakeUp()
+}
+
+// wakeUp lets the loop look at its inbox.
+func (c *Core) wakeUp() {
 	select {
 	case c.notify <- struct{}{}:
 	default:
@@ -342,6 +342,7 @@
 
 // Probed tells how a probe ended.
 func (c *Core) Probed(n *Node, r Result) {
+	c.saw(n, r.Outcome)
 	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
 		Report: r.Load}})
 }
@@ -370,6 +371,12 @@
 func (c *Core) Tick(now time.Time) (next time.Time) {
 	c.last = now
 	c.mu.Lock()
+	due := c.table.Next()
+	c.mu.Unlock()
+	if !due.IsZero() && !now.Before(due) {
+		c.join(false, false, c.table.Tick)
+	}
+	c.mu.Lock()
 	inbox := append(c.held, c.inbox...)
 	c.held, c.inbox = nil, nil
 	c.mu.Unlock()
@@ -407,6 +414,11 @@
 	if !c.wake.IsZero() && c.wake.Before(next) {
 		next = c.wake
 	}
+	c.mu.Lock()
+	if due = c.table.Next(); !due.IsZero() && due.Before(next) {
+		next = due
+	}
+	c.mu.Unlock()
 	for i := range c.held {
 		if c.held[i].due.Before(next) {
 			next = c.held[i].due
@@ -461,6 +473,7 @@
 		a.over, a.end = true, in.end
 		delete(c.attempts, a)
 		a.node.hold(-1)
+		c.saw(a.node, in.end)
 		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
 			in.event.Outcome = a.why
 		}
@@ -486,7 +499,10 @@
 				c.drop(a, aggregator.Cancelled)
 			}
 			c.wake = time.Time{}
-			c.put(input{event: c.list(aggregator.ListReplaced)})
+			c.mu.Lock()
+			c.inbox = append(c.inbox, input{event: c.whole(aggregator.ListReplaced)})
+			c.mu.Unlock()
+			c.wakeUp()
 		}
 	}()
 	c.actions = c.agg.Step(c.clock(now), events, c.actions[:0])
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -15,12 +15,13 @@
 	"github.com/google/go-cmp/cmp"
 
 	"gullfall/aggregator"
+	"gullfall/internal/membership"
 )
 
 // stand is a core with one data node whose carrier does as the test says, in virtual time.
 type stand struct {
 	*Core
-	fleet *Fleet
+	fleet *Source
 	mu    sync.Mutex
 	seen  []string
 	end   func()
@@ -41,7 +42,7 @@
 		t.Fatal(err)
 	}
 	s := &stand{Core: c}
-	s.fleet = c.Fleet(func(n *Node) {
+	c.Carrier("", func(n *Node) {
 		for o := n.Pick(context.Background()); o != nil; o = n.Pick(context.Background()) {
 			s.mu.Lock()
 			switch {
@@ -62,6 +63,7 @@
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	go c.Run(ctx)
+	s.fleet = c.Source(membership.Spec{Name: "list"})
 	s.fleet.Replace([]Member{{ID: "n1"}}, false)
 	s.end = func() {
 		s.fleet.Replace(nil, false)
@@ -309,8 +311,8 @@
 			}
 		}
 		synctest.Wait()
-		if len(s.Core.nodes) != 2 || len(s.fleet.nodes) != 2 {
-			t.Errorf("%d data nodes are known, %d of the source", len(s.Core.nodes), len(s.fleet.nodes))
+		if len(s.Core.nodes) != 2 || len(s.fleet.Claims()) != 2 {
+			t.Errorf("%d data nodes are known, %d of the source", len(s.Core.nodes), len(s.fleet.Claims()))
 		}
 		if len(s.queries)+len(s.parts)+len(s.attempts)+len(s.held)+s.Open() > 0 {
 			t.Errorf("still held: %d queries, %d parts, %d attempts", len(s.queries), len(s.parts), len(s.attempts))
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -1,17 +1,31 @@
 package core
 
-// This file owns the list of data nodes and the orders that wait for each. A Fleet is what one source tells
-// (discovery, DNS-SD); the core joins them into the one list that the module knows. It must never open a
-// connection, nor let an order wait here for longer than its carrier takes to pick it up.
+// This file owns the data nodes of the joined list and the orders that wait for each. What sources tell, and what is
+// seen of data nodes, goes to the membership table; what that decides is applied here and passed on to the module. It
+// must never open a connection, weigh one source against another, nor let an order wait here for longer than its
+// carrier takes to pick it up.
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"gullfall/aggregator"
+	"gullfall/internal/membership"
+)
+
+// Member is one entry of a list of data nodes.
+type Member = membership.Record
+
+// State is what a list says of a data node.
+type State = membership.State
+
+// The states of a data node.
+const (
+	Serving  = membership.Serving
+	Draining = membership.Draining
+	Gone     = membership.Gone
 )
 
 // Carry serves one data node: it picks up orders until Pick says that there will be none.
@@ -21,7 +35,6 @@
 type Node struct {
 	id      string
 	c       *Core
-	fleet   *Fleet
 	member  Member
 	barred  atomic.Bool
 	orders  []*Order
@@ -90,94 +103,186 @@
 	}
 }
 
-// Fleet is the list of one source.
-type Fleet struct {
-	c     *Core
-	carry Carry
-	nodes map[string]*Node
+// Carrier names what serves the data nodes of a protocol, one goroutine for each. It comes before the first list.
+func (c *Core) Carrier(proto string, carry Carry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carriers[proto] = carry
+}
+
+// Source is one of those that tell of data nodes.
+type Source struct {
+	c *Core
+	s *membership.Source
+}
+
+// Source adds one to those that the list is joined from.
+func (c *Core) Source(spec membership.Spec) *Source {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &Source{c, c.table.Source(spec)}
+}
+
+// Tell takes in what the source has told.
+func (s *Source) Tell(u membership.Update) {
+	s.c.join(u.Full && u.Basis != membership.Failed, u.Remembered, func(now time.Time) membership.Result { return s.s.Told(now, u) })
+}
+
+// Change takes in the entries that have changed.
+func (s *Source) Change(members []Member) { s.Tell(membership.Update{Records: members}) }
+
+// Replace takes in a complete list: what it lacks is gone. A remembered list may be out of date.
+func (s *Source) Replace(members []Member, remembered bool) {
+	s.Tell(membership.Update{Full: true, Remembered: remembered, Records: members})
+}
+
+// Heard renews the lease of what the source has told: nothing has changed there.
+func (s *Source) Heard() { s.c.join(false, false, s.s.Heard) }
+
+// Saw takes in the serial that a zone has now, and tells whether its list is to be fetched.
+func (s *Source) Saw(serial uint32) (fetch bool) {
+	s.c.join(false, false, func(now time.Time) (r membership.Result) {
+		fetch, r = s.s.Saw(now, serial)
+		return r
+	})
+	return fetch
 }
 
-// Fleet adds a source whose data nodes are served by carry, one goroutine for each.
-func (c *Core) Fleet(carry Carry) *Fleet {
-	f := &Fleet{c: c, carry: carry, nodes: map[string]*Node{}}
+// Claims are the records that the source now stands for; a list to be remembered.
+func (s *Source) Claims() []Member {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	return s.s.Claims()
+}
+
+// Serial is the zone's serial as the source last told it.
+func (s *Source) Serial() (serial uint32, known bool) {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	return s.s.Serial()
+}
+
+// Members is the joined list, and in words how each entry came to be.
+func (c *Core) Members() (all []Member, why []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fleets = append(c.fleets, f)
-	return f
+	all = c.table.List()
+	for _, m := range all {
+		why = append(why, c.table.Explain(m.ID))
+	}
+	return all, why
 }
 
-// Change applies the entries that have changed.
-func (f *Fleet) Change(members []Member) {
+// join lets the membership table decide, applies what it has decided at once, ahead of the next Step, and passes it
+// on to the module: the whole list, where a source has told one, or what has changed.
+func (c *Core) join(full, remembered bool, decide func(now time.Time) membership.Result) {
+	c.mu.Lock()
+	r := decide(time.Now())
 	event := aggregator.Event{Kind: aggregator.ListChanged}
-	f.c.mu.Lock()
-	for _, m := range members {
-		if f.apply(m) {
-			event.Members = append(event.Members, f.c.member(m))
-		}
+	for _, m := range r.Changes {
+		c.apply(m)
+		event.Members = append(event.Members, c.member(m))
+	}
+	switch {
+	case full && remembered && !c.listed:
+		event = c.whole(aggregator.ListRemembered)
+	case full && !remembered:
+		c.listed = true
+		event = c.whole(aggregator.ListReplaced)
+	}
+	news := full || len(r.Changes) > 0
+	if news {
+		c.inbox = append(c.inbox, input{event: event})
+	}
+	c.mu.Unlock()
+	if news {
+		c.wakeUp()
+	}
+	for _, n := range r.Notes {
+		c.explain(n)
 	}
-	f.c.mu.Unlock()
-	f.c.put(input{event: event})
 }
 
-// Replace applies a complete list: what it lacks is gone. A remembered list may be out of date.
-func (f *Fleet) Replace(members []Member, remembered bool) {
-	f.c.mu.Lock()
-	missing := map[string]bool{}
-	for id := range f.nodes {
-		missing[id] = true
+// warnings are the notes that someone should look at.
+var warnings = map[membership.What]bool{membership.Held: true, membership.Emptied: true, membership.WentBack: true,
+	membership.Stale: true, membership.Lapsed: true, membership.Suppressed: true, membership.Excess: true, membership.Unfit: true}
+
+// explain logs why the list changes, or does not.
+func (c *Core) explain(n membership.Note) {
+	level := slog.LevelInfo
+	if warnings[n.What] {
+		level = slog.LevelWarn
 	}
-	for _, m := range members {
-		f.apply(m)
-		delete(missing, m.ID)
+	var args []any
+	msg := string(n.What)
+	if n.ID != "" {
+		msg = "data node " + msg
+		args = append(args, "node", n.ID)
 	}
-	for id := range missing {
-		f.apply(Member{ID: id, State: Gone, Cell: f.nodes[id].member.Cell})
+	if n.Source != "" {
+		args = append(args, "source", n.Source)
 	}
-	f.c.mu.Unlock()
-	kind := aggregator.ListReplaced
-	if remembered {
-		kind = aggregator.ListRemembered
+	if n.Detail != "" {
+		args = append(args, "why", n.Detail)
 	}
-	f.c.put(input{event: f.c.list(kind)})
+	c.log.Log(context.Background(), level, msg, args...)
 }
 
-// apply notes an entry, at once and ahead of the next Step, and starts or retires the data node's carrier. An
-// entry of a data node that another source has named is not taken: it has one owner.
-func (f *Fleet) apply(m Member) bool {
-	n := f.nodes[m.ID]
-	switch {
-	case n == nil && (f.c.nodes[m.ID] != nil || m.State == Gone):
-		return false
-	case n == nil:
-		n = &Node{id: m.ID, c: f.c, fleet: f, ready: make(chan struct{}, 1)}
-		f.nodes[m.ID], f.c.nodes[m.ID] = n, n
-		go f.carry(n)
+var evidence = map[Outcome]membership.Evidence{Served: membership.Answered, Errored: membership.Answered,
+	Busy: membership.Turned, NotConnected: membership.Refused, Reset: membership.Lost, Cut: membership.Reopened}
+
+// saw passes on what the end of an attempt or a probe says of a data node; not of one that has since moved or gone.
+func (c *Core) saw(n *Node, end Outcome) {
+	e, known := evidence[end]
+	if !known || n.Barred() || c.node(n.id) != n {
+		return
 	}
-	n.member = m
-	if bar := m.State != Serving; n.barred.Swap(bar) != bar && bar {
-		n.orders = append(n.orders, &Order{Barred: true})
+	c.join(false, false, func(now time.Time) membership.Result { return c.table.Seen(now, n.id, e) })
+}
+
+// apply notes an entry, and starts or retires the data node's carrier. One that has moved is served by a new carrier:
+// nothing more goes to the old address, and what is out there ends there.
+func (c *Core) apply(m Member) {
+	n := c.nodes[m.ID]
+	if n != nil && (m.State == Gone || n.member.Addr != m.Addr || n.member.Proto != m.Proto) {
+		n.bar(true)
+		n.retired = true
 		n.signal()
+		delete(c.nodes, m.ID)
+		n = nil
 	}
 	if m.State == Gone {
-		delete(f.nodes, m.ID)
-		delete(f.c.nodes, m.ID)
-		n.retired = true
+		return
+	}
+	if n == nil {
+		carry := c.carriers[m.Proto]
+		if carry == nil {
+			c.log.Warn("no carrier for the data node's protocol", "node", m.ID, "proto", m.Proto)
+			return
+		}
+		n = &Node{id: m.ID, c: c, ready: make(chan struct{}, 1)}
+		c.nodes[m.ID] = n
+		go carry(n)
+	}
+	n.member = m
+	n.bar(m.State != Serving)
+}
+
+// bar sets whether anything new may be begun at the data node; what waits for it there is to be turned back. The
+// caller holds the lock.
+func (n *Node) bar(bar bool) {
+	if n.barred.Swap(bar) != bar && bar {
+		n.orders = append(n.orders, &Order{Barred: true})
 		n.signal()
 	}
-	return true
 }
 
-// list is the joined list of all sources.
-func (c *Core) list(kind aggregator.EventKind) aggregator.Event {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// whole is the joined list of all sources. The caller holds the lock.
+func (c *Core) whole(kind aggregator.EventKind) aggregator.Event {
 	event := aggregator.Event{Kind: kind}
-	for _, f := range c.fleets {
-		for _, n := range f.nodes {
-			event.Members = append(event.Members, c.member(n.member))
-		}
+	for _, m := range c.table.List() {
+		event.Members = append(event.Members, c.member(m))
 	}
-	slices.SortFunc(event.Members, func(a, b aggregator.Member) int { return cmp.Compare(a.Replica, b.Replica) })
 	return event
 }
 
--- /dev/null
+++ b/internal/dnssd/client.go
@@ -0,0 +1,146 @@
+package dnssd
+
+// This file owns questions: how many are out, how many a second, and which answers count. It must never believe an
+// answer to what was not asked, send a question beyond the budget, or hold a socket past its question's deadline.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/miekg/dns"
+	"golang.org/x/time/rate"
+)
+
+// udpSize is what we say that we take in one datagram (EDNS0; the figure of DNS Flag Day 2020).
+const udpSize = 1232
+
+// patience is how long an answer may take.
+const patience = 600 * time.Millisecond
+
+// Key signs messages to and from the servers of a zone (RFC 8945).
+type Key struct {
+	Name      string // fully qualified
+	Algorithm string // as hmac-sha256.
+	Secret    string // base64
+}
+
+// Client asks questions. One client may serve many zones; its budget is for all of them.
+type Client struct {
+	budget *rate.Limiter
+	out    chan struct{}
+	asked  atomic.Uint64
+}
+
+// NewClient returns a client that sends perSecond questions at most (and as many at once after a pause), with most
+// of them out.
+func NewClient(perSecond float64, most int) *Client {
+	return &Client{budget: rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond))), out: make(chan struct{}, most)}
+}
+
+// Asked counts the questions sent, transfers included.
+func (c *Client) Asked() uint64 { return c.asked.Load() }
+
+// begin waits for a place and for the budget; the caller gives the place back.
+func (c *Client) begin(ctx context.Context) error {
+	select {
+	case c.out <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if err := c.budget.Wait(ctx); err != nil {
+		<-c.out
+		return err
+	}
+	c.asked.Add(1)
+	return nil
+}
+
+func (c *Client) end() { <-c.out }
+
+// errAnswer marks an answer that is none to the question.
+var errAnswer = errors.New("answer does not match the question")
+
+// rcodeError is an answer that tells of an error.
+type rcodeError struct {
+	name string
+	code int
+}
+
+func (e *rcodeError) Error() string { return fmt.Sprintf("%s: %s", e.name, dns.RcodeToString[e.code]) }
+
+// Ask asks one server one question: over UDP from a port and with an id of chance, and over TCP where the answer was
+// cut. An answer is returned only where it is one to the question and says NOERROR or NXDOMAIN.
+func (c *Client) Ask(ctx context.Context, server string, k *Key, name string, kind uint16) (*dns.Msg, error) {
+	q := new(dns.Msg).SetQuestion(dns.Fqdn(name), kind)
+	q.SetEdns0(udpSize, false)
+	a, err := c.exchange(ctx, "udp", server, k, q)
+	if err == nil && a.Rcode == dns.RcodeFormatError {
+		q = new(dns.Msg).SetQuestion(dns.Fqdn(name), kind) // a server that does not know EDNS0 (RFC 6891, 7)
+		a, err = c.exchange(ctx, "udp", server, k, q)
+	}
+	if err == nil && a.Truncated {
+		a, err = c.exchange(ctx, "tcp", server, k, q)
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case a.Truncated:
+		return nil, fmt.Errorf("%s: cut over TCP too", name)
+	case a.Rcode != dns.RcodeSuccess && a.Rcode != dns.RcodeNameError:
+		return nil, &rcodeError{name, a.Rcode}
+	}
+	return a, nil
+}
+
+// exchange sends one message and waits for its answer.
+func (c *Client) exchange(ctx context.Context, network, server string, k *Key, q *dns.Msg) (*dns.Msg, error) {
+	if err := c.begin(ctx); err != nil {
+		return nil, err
+	}
+	defer c.end()
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(patience))
+	defer cancel()
+	client := &dns.Client{Net: network, UDPSize: udpSize, Timeout: patience}
+	q = q.Copy()
+	q.Id = dns.Id()
+	if k != nil {
+		client.TsigSecret = map[string]string{k.Name: k.Secret}
+		q.SetTsig(k.Name, k.Algorithm, 300, time.Now().Unix())
+	}
+	a, _, err := client.ExchangeContext(ctx, q, server)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", server, err)
+	}
+	if k != nil && a.IsTsig() == nil {
+		return nil, fmt.Errorf("%s: answer is not signed", server)
+	}
+	// A server that refuses may leave the question out.
+	if !a.Response || a.Opcode != q.Opcode || len(a.Question) > 1 || len(a.Question) == 0 && a.Rcode == dns.RcodeSuccess {
+		return nil, fmt.Errorf("%s: %w", server, errAnswer)
+	}
+	if len(a.Question) == 1 && (!strings.EqualFold(a.Question[0].Name, q.Question[0].Name) ||
+		a.Question[0].Qtype != q.Question[0].Qtype || a.Question[0].Qclass != q.Question[0].Qclass) {
+		return nil, fmt.Errorf("%s: %w", server, errAnswer)
+	}
+	return a, nil
+}
+
+// zoneSerial asks for the SOA record of the zone that a domain lies in. auth tells whether the server has authority.
+func (c *Client) zoneSerial(ctx context.Context, server string, k *Key, domain string) (soa *dns.SOA, auth bool, err error) {
+	a, err := c.Ask(ctx, server, k, domain, dns.TypeSOA)
+	if err != nil {
+		return nil, false, err
+	}
+	for _, section := range [][]dns.RR{a.Answer, a.Ns} { // in the second for a domain below the zone's top
+		for _, rr := range section {
+			if s, ok := rr.(*dns.SOA); ok && dns.IsSubDomain(strings.ToLower(s.Hdr.Name), strings.ToLower(dns.Fqdn(domain))) {
+				return s, a.Authoritative, nil
+			}
+		}
+	}
+	return nil, a.Authoritative, nil
+}
--- /dev/null
+++ b/internal/dnssd/names.go
@@ -0,0 +1,94 @@
+// Package dnssd works with DNS-SD records (RFC 6763): it browses domains for data nodes, follows their changes, and
+// describes our own Flight service. It owns DNS messages and what they mean; who is there in the end is for
+// internal/membership to decide. A hostile or broken server can cost its own records and nothing else.
+package dnssd
+
+// This file owns names: instance names as RFC 6763, 4.1 and 4.3 have them, and the strings of TXT records after its
+// section 6. It must never trust a length or an escape.
+
+import (
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/miekg/dns"
+)
+
+// unescape turns a name or string from the presentation form (RFC 1035, 5.1), which the DNS library keeps, into
+// its bytes.
+func unescape(s string) string {
+	if !strings.Contains(s, `\`) {
+		return s
+	}
+	var b strings.Builder
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case c != '\\' || i+1 == len(s):
+			b.WriteByte(c)
+		case i+3 < len(s) && digit(s[i+1]) && digit(s[i+2]) && digit(s[i+3]):
+			b.WriteByte((s[i+1]-'0')*100 + (s[i+2]-'0')*10 + s[i+3] - '0')
+			i += 3
+		default:
+			i++
+			b.WriteByte(s[i])
+		}
+	}
+	return b.String()
+}
+
+func digit(c byte) bool { return c >= '0' && c <= '9' }
+
+// Escape turns an instance's label, which may hold spaces, dots and UTF-8, into the presentation form.
+func Escape(label string) string {
+	var b strings.Builder
+	for i := 0; i < len(label); i++ {
+		switch c := label[i]; {
+		case c == '.' || c == '\\' || c == '"' || c == '(' || c == ')' || c == ';' || c == '@' || c == '$':
+			b.WriteByte('\\')
+			b.WriteByte(c)
+		case c <= ' ' || c >= 0x7f:
+			fmt.Fprintf(&b, `\%03d`, c)
+		default:
+			b.WriteByte(c)
+		}
+	}
+	return b.String()
+}
+
+// Instance is the label of a service instance, given its full name and that of its type, as _dn._tcp.example.org.;
+// an error says why the name is none.
+func Instance(name, kind string) (string, error) {
+	labels := dns.SplitDomainName(name)
+	if len(labels) == 0 || !strings.EqualFold(dns.Fqdn(strings.Join(labels[1:], ".")), dns.Fqdn(kind)) {
+		return "", fmt.Errorf("%q is no instance of %s", name, kind)
+	}
+	label := unescape(labels[0])
+	switch {
+	case len(label) > 63:
+		return "", fmt.Errorf("label of %d bytes; 63 are allowed", len(label))
+	case !utf8.ValidString(label):
+		return "", fmt.Errorf("label %q is not UTF-8", label)
+	case strings.ContainsFunc(label, unicode.IsControl):
+		return "", fmt.Errorf("label %q has a control character", label)
+	}
+	return label, nil
+}
+
+// Text reads the strings of a TXT record: keys in lower case, the first of each, without those that have no name. A
+// key without "=" has no value; present tells that it is there.
+type Text map[string]string
+
+// ReadText reads the strings of a TXT record, as the DNS library holds them.
+func ReadText(list []string) Text {
+	t := Text{}
+	for _, s := range list {
+		key, value, _ := strings.Cut(unescape(s), "=")
+		key = strings.ToLower(key)
+		if _, twice := t[key]; key == "" || twice {
+			continue
+		}
+		t[key] = value
+	}
+	return t
+}
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -20,6 +20,7 @@
 
 	"gullfall/aggregator"
 	"gullfall/internal/core"
+	"gullfall/internal/membership"
 )
 
 // protocol is one of the two, or a mix: how a data node stands, how it is reached, and how a client asks.
@@ -112,7 +113,7 @@
 type rig struct {
 	t     *testing.T
 	b     *book
-	fleet *core.Fleet
+	fleet *core.Source
 	ask   asker
 	drain func()
 	nodes []core.Member
@@ -146,7 +147,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go c.Run(ctx)
-	r := &rig{t: t, b: b, core: c, fleet: c.Fleet(p.carry(c))}
+	c.Carrier("", p.carry(c))
+	r := &rig{t: t, b: b, core: c, fleet: c.Source(membership.Spec{Name: "list"})}
 	for i := range 2 {
 		name := fmt.Sprintf("n%d", i+1)
 		ln := listen(t)
--- a/internal/flight/server_test.go
+++ b/internal/flight/server_test.go
@@ -20,6 +20,7 @@
 
 	"gullfall/aggregator"
 	"gullfall/internal/core"
+	"gullfall/internal/membership"
 )
 
 // newClient starts a server whose one data node answers each part with n documents of size bytes.
@@ -33,7 +34,7 @@
 		t.Fatal(err)
 	}
 	go c.Run(t.Context())
-	c.Fleet(func(node *core.Node) {
+	c.Carrier("", func(node *core.Node) {
 		for o := node.Pick(t.Context()); o != nil; o = node.Pick(t.Context()) {
 			for _, a := range o.Call {
 				r := core.Result{Outcome: core.Served}
@@ -43,7 +44,8 @@
 				c.Report(a, r)
 			}
 		}
-	}).Replace([]core.Member{{ID: "n1"}}, false)
+	})
+	c.Source(membership.Spec{Name: "list"}).Replace([]core.Member{{ID: "n1"}}, false)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,224 @@
+// Package membership decides who is there. It joins what any number of sources tell of data nodes with what the
+// coordinator sees of them into the one list that the decision module works on. It does no I/O, reads no clock,
+// starts no goroutine and logs nothing: time comes in with each call, and what was decided goes out as changes of
+// the list and as notes that say why. The same calls in the same order give the same results.
+//
+// # The table
+//
+// What a source last told of a data node is its claim. Claims are fresh (told, and within the lease), stale (the
+// lease has run out) or remembered (from a list kept over a restart). Of the claims of one id the owner's is the
+// one of the freshest kind, then of the highest rank, then of the source that was added first.
+//
+//	owner says    others say                              result
+//	serving       nothing, serving, or no more there      serving, as the owner describes it
+//	serving       draining, fresh                         draining
+//	serving       draining and then gone, fresh           draining, until the owner's claim changes
+//	serving       draining, of an earlier start           serving
+//	draining      anything                                draining
+//	gone          serving, told before that               gone
+//	gone          serving, fresh, and changed after that  serving, as that one describes it
+//	gone          remembered or stale                     gone
+//
+// A source that does not answer is not one that says gone: its claims turn stale after their lease, and lapse only
+// after its MaxStale (RFC 8767). A whole list that is refused, cut, lame or older by its serial (RFC 1982) removes
+// nothing; an empty one that is authoritative does.
+//
+// # Identity
+//
+//	same id, new address    moved: connections to the old address end; cold, unless its start is stated and the same
+//	same address, new id    replaced: the old id leaves the list, the new one is cold unless its start is stated
+//	another start           restarted: cold since the start stated, or since now where that went back
+//	vanished, came back     the same one where its start is the same; where none is stated it is cold after an
+//	                        absence of Brief or signs of its death
+//
+// Where two sources name one address under two ids at once, the id of the higher rank stands, then the one that
+// was told last; the other is an alias and is not listed.
+//
+// # Order of use
+//
+// A data node is sound where it serves, is no alias, not suppressed and not doubtful. One with a higher SRV priority
+// figure than others is used only while a shard that it holds has no sound data node of a lower figure. Removal and
+// draining are at once. Where a damped data node goes or drains again and again, its return is held back: the idea
+// and the names are from RFC 2439. It is never held back while a shard that it holds has no sound one.
+//
+// Memory is bounded by the data nodes that are listed, by Spec.Most for each source, and by Config.MaxPast of those
+// that were.
+package membership
+
+import (
+	"fmt"
+	"time"
+)
+
+// State is what a source says of a data node.
+type State uint8
+
+// The states of a data node.
+const (
+	Serving State = iota
+	Draining
+	Gone
+)
+
+func (s State) String() string { return [...]string{"serving", "draining", "gone"}[s] }
+
+// Record is what a source tells of one data node, and what the joined list says of it.
+type Record struct {
+	ID, Addr, Zone string
+	Proto          string // which carrier serves it; empty for the first
+	Cell           int
+	State          State
+	Weight         float64   // for comparing data nodes; 1 is an ordinary one
+	Started        time.Time // zero means long ago
+	Unstated       bool      // the source does not know Started
+	Priority       uint16    // as SRV has it (RFC 2782): the lowest figure is used first
+}
+
+// Spec describes a source.
+type Spec struct {
+	Name     string
+	Rank     int           // the higher one owns a data node that several name
+	Damped   bool          // returns of its data nodes are damped
+	MaxStale time.Duration // how long its claims hold past their lease; 0 means for good
+	Most     int           // most data nodes that it may name; 0 means DefaultMost
+}
+
+// DefaultMost is how many data nodes a source may name unless its Spec says otherwise.
+const DefaultMost = 16384
+
+// Basis is how far an answer of a source can be trusted.
+type Basis uint8
+
+// The bases.
+const (
+	Authoritative Basis = iota
+	Relayed             // by a server that has no authority: an empty list says nothing
+	Truncated           // not all of it has come
+	Failed              // no list: no answer, or one that tells an error
+)
+
+// Update is what a source has told.
+type Update struct {
+	Basis      Basis
+	Cause      string // Failed: in words
+	Serial     uint32 // of the zone, where Serialled
+	Serialled  bool
+	Full       bool // Records is the whole list; what it lacks is gone
+	Remembered bool // the list is of an earlier run
+	Records    []Record
+	Lease      time.Duration // how long it holds without being heard again; 0 means for good
+}
+
+// Evidence is what the coordinator sees of a data node itself.
+type Evidence uint8
+
+// The kinds of evidence.
+const (
+	Answered Evidence = iota // a part or a probe, well or not
+	Turned                   // it was there, and turned a part away
+	Refused                  // no connection could be opened
+	Lost                     // its connections ended, and none could be opened anew
+	Reopened                 // they ended and could be opened anew
+)
+
+// Config holds the figures of a Table. The zero value of a field stands for its default.
+type Config struct {
+	Cells, Shards, Reach int           // shard s is held by cells s, s+1, ... s+Reach-1, modulo Cells
+	HalfLife             time.Duration // of a penalty; 15 s
+	Suppress, Reuse      float64       // penalties from which, and down to which, a return is held; 2500 and 800
+	MaxSuppress          time.Duration // longest time that a return is held; 60 s
+	Brief                time.Duration // an absence after which one may be another process; 10 s
+	DoubtFor             time.Duration // after which doubt ends without news; 10 s
+	Doubts               int           // signs of death in a row that make doubtful; 2
+	Turns                int           // parts turned away in a row that make doubtful; 16
+	SerialHold           time.Duration // after which a zone that went back in serial is believed; 30 s
+	MaxPast              int           // most data nodes remembered that are listed no more; 1024
+}
+
+// Penalties, in the units of RFC 2439: one withdrawal is 1000, one change of an attribute half of it.
+const (
+	withdrawn = 1000
+	drained   = 500
+)
+
+func (c Config) withDefaults() Config {
+	for _, d := range []struct {
+		to *time.Duration
+		by time.Duration
+	}{{&c.HalfLife, 15 * time.Second}, {&c.MaxSuppress, time.Minute}, {&c.Brief, 10 * time.Second},
+		{&c.DoubtFor, 10 * time.Second}, {&c.SerialHold, 30 * time.Second}} {
+		if *d.to <= 0 {
+			*d.to = d.by
+		}
+	}
+	for _, d := range []struct {
+		to *int
+		by int
+	}{{&c.Cells, 1}, {&c.Shards, 1}, {&c.Reach, 1}, {&c.Doubts, 2}, {&c.Turns, 16}, {&c.MaxPast, 1024}} {
+		if *d.to <= 0 {
+			*d.to = d.by
+		}
+	}
+	if c.Suppress <= 0 {
+		c.Suppress = 2500
+	}
+	if c.Reuse <= 0 {
+		c.Reuse = 800
+	}
+	return c
+}
+
+// Check names the first figure that can't be worked with.
+func (c Config) Check() error {
+	c = c.withDefaults()
+	switch {
+	case c.Reach > c.Cells:
+		return fmt.Errorf("membership: Reach %d is above Cells %d", c.Reach, c.Cells)
+	case c.Reuse >= c.Suppress:
+		return fmt.Errorf("membership: reuse %g must be below suppress %g", c.Reuse, c.Suppress)
+	}
+	return nil
+}
+
+// What names what a note tells of.
+type What string
+
+// What was decided.
+const (
+	Listed     What = "listed"
+	Removed    What = "removed"
+	Drained    What = "draining"
+	Moved      What = "moved"
+	Replaced   What = "replaced"
+	Restarted  What = "restarted"
+	Held       What = "list held"     // an answer of a source that changes nothing, or removes nothing
+	Emptied    What = "list emptied"  // an authoritative empty list
+	WentBack   What = "serial back"   // an older serial is believed after all
+	Stale      What = "source stale"  // its lease has run out
+	Fresh      What = "source fresh"  // it was heard again
+	Lapsed     What = "source lapsed" // its MaxStale is over; its claims are dropped
+	Suppressed What = "suppressed"
+	Reused     What = "reused"
+	Needed     What = "needed" // suppressed, but a shard has no other
+	Standby    What = "standby"
+	Active     What = "active"
+	Doubted    What = "doubted"
+	Cleared    What = "cleared"
+	Aliased    What = "alias" // another id stands at its address
+	Excess     What = "too many"
+	Unfit      What = "unfit" // a record that can't be used
+)
+
+// Note says why something was decided.
+type Note struct {
+	What   What
+	Source string // its name; empty where none is meant
+	ID     string // of the data node; empty where none is meant
+	Detail string
+}
+
+// Result is what a call has decided.
+type Result struct {
+	Changes []Record // of the list, by id; State Gone takes one off it
+	Notes   []Note
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -32,10 +32,10 @@
 
 // Watch follows the list of data nodes. Its exported fields are set before Run.
 type Watch struct {
-	Fleet *core.Fleet
-	Log   *slog.Logger
-	Dial  func(ctx context.Context, addr string) (net.Conn, error)
-	Keep  func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
+	Source *core.Source
+	Log    *slog.Logger
+	Dial   func(ctx context.Context, addr string) (net.Conn, error)
+	Keep   func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
 
 	moves   chan string
 	addr    string
@@ -118,7 +118,7 @@
 	}
 	p.Full = true
 	w.version, w.listed = p.Version, true
-	w.Fleet.Replace(w.members(p), true)
+	w.Source.Replace(w.members(p), true)
 }
 
 // Move goes over to discovery at another address. It returns once Run knows of it, or ctx ends.
@@ -205,9 +205,9 @@
 // apply takes in a page.
 func (w *Watch) apply(p page) {
 	if p.Full {
-		w.Fleet.Replace(w.members(p), false)
+		w.Source.Replace(w.members(p), false)
 	} else {
-		w.Fleet.Change(w.members(p))
+		w.Source.Change(w.members(p))
 	}
 	w.version, w.listed = p.Version, true
 	w.keep()
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -27,6 +27,7 @@
 
 	"gullfall/aggregator"
 	"gullfall/internal/core"
+	"gullfall/internal/membership"
 )
 
 var scenarios = []struct {
@@ -517,8 +518,9 @@
 	go c.Run(ctx)
 	carrier := &Nodes{Core: c, Log: log, Dial: w.dial, Streams: 32, Connect: set.Limits.ConnectTimeout,
 		Idle: set.Limits.ConnIdle, Slots: make(chan struct{}, 9)}
+	c.Carrier("", carrier.Carry)
 	watch := NewWatch("d1")
-	watch.Fleet, watch.Log, watch.Dial, w.watch = c.Fleet(carrier.Carry), log, w.dial, watch
+	watch.Source, watch.Log, watch.Dial, w.watch = c.Source(membership.Spec{Name: "discovery"}), log, w.dial, watch
 	var list []string
 	for _, id := range strings.Fields(nodes) {
 		if key, n, ok := strings.Cut(id, "="); ok {
@@ -575,7 +577,7 @@
 		}
 	}
 	<-watching
-	watch.Fleet.Replace(nil, false)
+	watch.Source.Replace(nil, false)
 	time.Sleep(10 * time.Second)
 	for _, a := range w.actors {
 		for a.accept(); a.nc != nil; a.accept() {
