Lab: a demo and a measurement of DNS-SD among stand-ins that a script drives

Need: the claims on removals, flaps and rules must be shown by a command that anyone can run.

gullfall-lab demo and gullfall-lab dnssd start stand-in data nodes of both protocols, a zone on two name servers, a directory and the real program.

--- /dev/null
+++ b/cmd/gullfall-lab/demo.go
@@ -0,0 +1,173 @@
+package main
+
+// This file is the demo: a fleet found through DNS-SD and discovery, a stream of queries, and a list of things that
+// go wrong while it runs. It must never end well where a rule broke.
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/load"
+	"gullfall/internal/lab/nodes"
+)
+
+type demoCmd struct {
+	For    time.Duration `default:"10s" help:"How long it runs."`
+	Seed   uint64        `default:"1" help:"Settles what happens to whom."`
+	JSON   string        `name:"json" help:"Write the report to this file."`
+	Binary string        `help:"Where gullfall lies; beside this program by default."`
+}
+
+// classReport is what became of a class's queries.
+type classReport struct {
+	Class                                                string
+	Asked, Served, Partial, Refused, Failed, Lost, Wrong int
+	P50ms, P99ms                                         float64
+}
+
+// rule is one of the rules, and whether it was kept.
+type rule struct {
+	Rule string
+	Kept bool
+	Seen string
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// classes are the reports of all classes.
+func classes(l *load.Load) (list []classReport) {
+	for _, c := range l.Classes {
+		t := l.Tally(c.Name)
+		list = append(list, classReport{c.Name, t.Asked, t.Served, t.Partial, t.Refused, t.Failed, t.Lost, t.Wrong,
+			ms(t.Quantile(50)), ms(t.Quantile(99))})
+	}
+	return list
+}
+
+// rules checks the accounts against the rules.
+func rules(l *load.Load, a nodes.Account) []rule {
+	sum := l.Sum()
+	return []rule{
+		{"each query has one final answer, in its time", sum.Lost == 0, fmt.Sprintf("%d of %d without", sum.Lost, sum.Asked)},
+		{"no two attempts of a part are out together", a.Twins == 0, fmt.Sprintf("%d twins in %d attempts", a.Twins, a.Begun)},
+		{"a part has 3 attempts at most", a.MostAttempts <= 3, fmt.Sprintf("%d at most", a.MostAttempts)},
+		{"nothing new later than 2 s after removal or drain", a.Worst < 2*time.Second, fmt.Sprintf("%v at worst in %d", a.Worst.Round(time.Millisecond), a.Removals)},
+		{"answers hold what their shards have, and are whole where marked so", sum.Wrong == 0, fmt.Sprintf("%d of %d wrong", sum.Wrong, sum.Served)},
+		{"queries are answered", sum.Served > sum.Asked/2, fmt.Sprintf("%d of %d", sum.Served, sum.Asked)},
+	}
+}
+
+// Run runs the demo.
+func (d demoCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	f, err := fleet.Start(ctx, fleet.Options{Nodes: 24, Listed: 8, Cells: 4, Shards: 16, TTL: 4500, Transfer: true, Notify: false,
+		Takes: 10 * time.Millisecond, Binary: binary(d.Binary), Seed: d.Seed})
+	stopped := false
+	defer func() {
+		if !stopped && f != nil {
+			f.Stop()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("gullfall serves at %s; 8 data nodes by discovery, 16 by DNS-SD in %s, both protocols\n", f.Front, fleet.Domain)
+	l := &load.Load{Addr: f.Front, Owner: "club", Rate: 150, Shards: 16, Classes: fleet.Classes, Open: 100, Ledger: f.Ledger, Seed: d.Seed}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(d.For))
+	defer cancel()
+	time.Sleep(500 * time.Millisecond)
+	var wg sync.WaitGroup
+	wg.Go(func() { l.Run(ctx) })
+	d.trouble(ctx, f, l)
+	wg.Wait()
+	sum := l.Sum()
+	account := f.Ledger.Account()
+	cpu, memory := f.CPU(), f.Memory()
+	stopped = true
+	ended := f.Stop()
+	fmt.Printf("\n%-8s %6s %6s %7s %7s %6s %5s %8s %8s\n", "class", "asked", "served", "partial", "refused", "failed", "lost", "p50 ms", "p99 ms")
+	for _, c := range classes(l) {
+		fmt.Printf("%-8s %6d %6d %7d %7d %6d %5d %8.1f %8.1f\n", c.Class, c.Asked, c.Served, c.Partial, c.Refused, c.Failed, c.Lost, c.P50ms, c.P99ms)
+	}
+	fmt.Printf("\n%d queries, %d attempts; gullfall used %v of processor time and %d MB\n\n", sum.Asked, account.Begun, cpu, memory)
+	list := rules(l, account)
+	list = append(list, rule{"gullfall ends well when told to", ended == nil, fmt.Sprint(ended)})
+	broken := 0
+	for _, r := range list {
+		word := "kept  "
+		if !r.Kept {
+			word = "BROKEN"
+			broken++
+		}
+		fmt.Printf("%s  %s (%s)\n", word, r.Rule, r.Seen)
+	}
+	if err := writeJSON(d.JSON, map[string]any{"classes": classes(l), "rules": list, "seed": d.Seed}); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d rules broken", broken)
+	}
+	return nil
+}
+
+// trouble does something to a data node about each second, and undoes it a while later.
+func (d demoCmd) trouble(ctx context.Context, f *fleet.Fleet, l *load.Load) {
+	acts := []struct {
+		what string
+		do   func(n *nodes.Node)
+		undo func(n *nodes.Node)
+		by   string // which of the sources names it
+	}{
+		{"record removed", func(n *nodes.Node) { f.Ledger.Off(n.ID); f.Zone.Remove(f.Instance(n, "").Label) },
+			func(n *nodes.Node) { f.Ledger.On(n.ID, false); f.Zone.Set(f.Instance(n, "")) }, "records"},
+		{"killed", func(n *nodes.Node) { n.Kill() },
+			func(n *nodes.Node) { n.Start(); f.Ledger.On(n.ID, true); f.Zone.Set(f.Instance(n, "")) }, "records"},
+		{"drained by its TXT record", func(n *nodes.Node) { f.Ledger.Off(n.ID); f.Zone.Set(f.Instance(n, "draining")) },
+			func(n *nodes.Node) { f.Ledger.On(n.ID, false); f.Zone.Set(f.Instance(n, "serving")) }, "records"},
+		{"drained by discovery", func(n *nodes.Node) { f.Ledger.Off(n.ID); f.Directory.Set(fleet.Entry(n, "DRAINING")) },
+			func(n *nodes.Node) { f.Ledger.On(n.ID, false); f.Directory.Set(fleet.Entry(n, "SERVING")) }, "discovery"},
+		{"record flaps", func(n *nodes.Node) {
+			f.Zone.Remove(f.Instance(n, "").Label)
+			time.AfterFunc(200*time.Millisecond, func() { f.Zone.Set(f.Instance(n, "")) })
+		}, func(n *nodes.Node) {}, "records"},
+	}
+	busy := map[string]bool{}
+	var mu sync.Mutex
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(700 * time.Millisecond):
+		}
+		act := acts[i%len(acts)]
+		mu.Lock()
+		free := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *nodes.Node) bool {
+			_, byRecords := f.Zone.Get(f.Instance(n, "").Label)
+			return busy[n.ID] || byRecords != (act.by == "records")
+		})
+		if len(free) == 0 {
+			mu.Unlock()
+			continue
+		}
+		n := free[f.Chance().IntN(len(free))]
+		busy[n.ID] = true
+		mu.Unlock()
+		act.do(n)
+		sum := l.Sum()
+		fmt.Printf("%5d asked, %5d served, %4d refused, %3d failed   %s %s\n", sum.Asked, sum.Served, sum.Refused, sum.Failed, n.ID, act.what)
+		time.AfterFunc(2*time.Second, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			if busy[n.ID] = false; ctx.Err() == nil {
+				act.undo(n)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/gullfall-lab/dnssd.go
@@ -0,0 +1,209 @@
+package main
+
+// This file is the measurement of DNS-SD: removals, drains and flaps under load, and the cost of a watch at rest. It
+// must never count a removal that has not been asked for.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/signal"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/load"
+	"gullfall/internal/lab/nodes"
+)
+
+type dnssdCmd struct {
+	Nodes    int           `default:"64" help:"How many data nodes the zone names."`
+	For      time.Duration `default:"60s" help:"How long records come and go."`
+	TTL      uint32        `default:"4500" help:"Time to live of the records, seconds."`
+	Notify   bool          `help:"The servers tell of changes by NOTIFY."`
+	Browse   bool          `help:"The servers turn transfers down."`
+	Rest     bool          `help:"Nothing changes and nothing is asked: what watching costs. The data nodes are records only."`
+	Every    time.Duration `default:"200ms" help:"How often a record goes."`
+	Rate     float64       `default:"400" help:"Queries a second."`
+	Seed     uint64        `default:"1" help:"Settles who goes when."`
+	JSON     string        `name:"json" help:"Write the report to this file."`
+	Binary   string        `help:"Where gullfall lies; beside this program by default."`
+	KeepLogs bool          `name:"log" help:"Print the end of gullfall's log."`
+}
+
+// dnssdReport is the report, with stable names.
+type dnssdReport struct {
+	Nodes         int     `json:"nodes"`
+	TTL           uint32  `json:"ttl"`
+	Notify        bool    `json:"notify"`
+	Transfer      bool    `json:"transfer"`
+	Seconds       float64 `json:"seconds"`
+	Cores         int     `json:"cores"`
+	Removals      int     `json:"removals"`
+	Flaps         int     `json:"flaps"`
+	Drains        int     `json:"drains"`
+	Worst         float64 `json:"worst_after_removal_ms"`
+	P99           float64 `json:"p99_after_removal_ms"`
+	Median        float64 `json:"median_after_removal_ms"`
+	Twins         int     `json:"twins"`
+	MostAttempts  int     `json:"most_attempts"`
+	Lost          int     `json:"lost"`
+	Wrong         int     `json:"wrong"`
+	Asked         int     `json:"asked"`
+	Served        int     `json:"served"`
+	Refused       int     `json:"refused"`
+	Failed        int     `json:"failed"`
+	P50           float64 `json:"p50_ms"`
+	P99Query      float64 `json:"p99_ms"`
+	Questions     float64 `json:"dns_questions_per_s"`
+	CPU           float64 `json:"cpu_share"`
+	MemoryMB      int     `json:"memory_mb"`
+	ColdReturns   int     `json:"cold_returns"`
+	ColdPartsEach float64 `json:"parts_in_first_cold_second"`
+	PartsEach     float64 `json:"parts_a_second_and_node"`
+}
+
+// Run measures.
+func (d dnssdCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	f, err := fleet.Start(ctx, fleet.Options{Nodes: d.Nodes, Cells: 8, Shards: 32, TTL: d.TTL, Transfer: !d.Browse, Notify: d.Notify,
+		Hollow: d.Rest, Takes: 8 * time.Millisecond, Binary: binary(d.Binary), Seed: d.Seed})
+	stopped := false
+	defer func() {
+		if !stopped && f != nil {
+			f.Stop()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second) // the first list
+	if listed := f.Logged("data node listed"); listed < d.Nodes {
+		return fmt.Errorf("only %d of %d data nodes are listed after 2 s\n%s", listed, d.Nodes, f.Log(2000))
+	}
+	l := &load.Load{Addr: f.Front, Owner: "club", Rate: d.Rate, Shards: 32, Classes: fleet.Classes, Open: 300, Ledger: f.Ledger, Seed: d.Seed}
+	start, questions, cpu := time.Now(), f.Questions(), f.CPU()
+	ctx, cancel := context.WithDeadline(ctx, start.Add(d.For))
+	defer cancel()
+	r := dnssdReport{Nodes: d.Nodes, TTL: d.TTL, Notify: d.Notify, Transfer: !d.Browse, Cores: runtime.NumCPU()}
+	var wg sync.WaitGroup
+	if d.Rest {
+		<-ctx.Done()
+	} else {
+		wg.Go(func() { l.Run(ctx) })
+		time.Sleep(500 * time.Millisecond)
+		r.Flaps, r.Drains = d.change(ctx, f)
+	}
+	wg.Wait()
+	took := time.Since(start)
+	r.Seconds = took.Seconds()
+	r.Questions = float64(f.Questions()-questions) / took.Seconds()
+	r.CPU, r.MemoryMB = (f.CPU()-cpu).Seconds()/took.Seconds(), f.Memory()
+	a, sum := f.Ledger.Account(), l.Sum()
+	r.Removals, r.Worst, r.P99, r.Median = a.Removals, ms(a.Worst), ms(a.P99), ms(a.Median)
+	r.Twins, r.MostAttempts = a.Twins, a.MostAttempts
+	r.Asked, r.Served, r.Refused, r.Failed, r.Lost, r.Wrong = sum.Asked, sum.Served, sum.Refused, sum.Failed, sum.Lost, sum.Wrong
+	r.P50, r.P99Query = ms(sum.Quantile(50)), ms(sum.Quantile(99))
+	if r.ColdReturns = a.ColdReturns; a.ColdReturns > 0 {
+		r.ColdPartsEach = float64(a.ColdParts) / float64(a.ColdReturns)
+	}
+	r.PartsEach = float64(a.Begun) / took.Seconds() / float64(d.Nodes)
+	if d.KeepLogs {
+		fmt.Println(f.Log(20000))
+	}
+	stopped = true
+	err = f.Stop()
+	fmt.Printf("%d data nodes, TTL %d s, transfers %v, NOTIFY %v, %.0f s on %d cores\n", r.Nodes, r.TTL, r.Transfer, r.Notify, r.Seconds, r.Cores)
+	if !d.Rest {
+		fmt.Printf("removals %d (flaps %d, drains %d): last new work after %.0f ms at the median, %.0f ms at p99, %.0f ms at worst\n", r.Removals, r.Flaps, r.Drains, r.Median, r.P99, r.Worst)
+		fmt.Printf("queries %d: served %d, refused %d, failed %d, lost %d, wrong %d; p50 %.1f ms, p99 %.1f ms\n", r.Asked, r.Served, r.Refused, r.Failed, r.Lost, r.Wrong, r.P50, r.P99Query)
+		fmt.Printf("attempts: twins %d, of one part %d at most; a data node back from the dead began %.1f parts in its first second, others %.1f\n", r.Twins, r.MostAttempts, r.ColdPartsEach, r.PartsEach)
+	}
+	fmt.Printf("DNS questions %.1f a second; %.2f%% of a core, %d MB\n", r.Questions, 100*r.CPU, r.MemoryMB)
+	if werr := writeJSON(d.JSON, r); werr != nil {
+		return werr
+	}
+	switch {
+	case err != nil:
+		return err
+	case d.Rest && (r.Questions >= 4 || r.CPU >= 0.01):
+		return errors.New("bound missed: under 4 questions a second and 1% of a core at rest")
+	case d.Rest:
+	case r.Worst >= 2000:
+		return errors.New("bound missed: new work later than 2 s after a removal")
+	case r.Notify && r.Median >= 100:
+		return errors.New("bound missed: with NOTIFY, 100 ms at the median")
+	case r.Twins > 0 || r.Lost > 0 || r.Wrong > 0 || r.MostAttempts > 3:
+		return errors.New("a rule broke")
+	}
+	return nil
+}
+
+// change lets records go and come back, until ctx ends: each third one flaps within 200 ms, each fifth drains before
+// it goes, each seventh belongs to a process that dies and starts anew. A quarter of the data nodes at most is away.
+func (d dnssdCmd) change(ctx context.Context, f *fleet.Fleet) (flaps, drains int) {
+	away := map[string]bool{}
+	var mu sync.Mutex
+	var back sync.WaitGroup
+	defer back.Wait()
+	later := func(after time.Duration, do func()) {
+		back.Go(func() {
+			select {
+			case <-time.After(after):
+			case <-ctx.Done():
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			do()
+		})
+	}
+	for i := 1; ; i++ {
+		select {
+		case <-ctx.Done():
+			return flaps, drains
+		case <-time.After(d.Every):
+		}
+		mu.Lock()
+		free := slices.DeleteFunc(slices.Clone(f.Nodes), func(n *nodes.Node) bool { return away[n.ID] })
+		if len(free) <= len(f.Nodes)*3/4 {
+			mu.Unlock()
+			continue
+		}
+		n := free[f.Chance().IntN(len(free))]
+		away[n.ID] = true
+		label := f.Instance(n, "").Label
+		home := func(cold bool) {
+			f.Ledger.On(n.ID, cold)
+			f.Zone.Set(f.Instance(n, "serving"))
+			delete(away, n.ID)
+		}
+		f.Ledger.Off(n.ID)
+		switch {
+		case i%3 == 0:
+			flaps++
+			f.Zone.Remove(label)
+			later(200*time.Millisecond, func() { home(false) })
+		case i%5 == 0:
+			drains++
+			f.Zone.Set(f.Instance(n, "draining"))
+			later(2500*time.Millisecond, func() { f.Zone.Remove(label) })
+			later(3500*time.Millisecond, func() { home(false) })
+		case i%7 == 0:
+			f.Zone.Remove(label)
+			later(time.Second, func() { n.Kill() })
+			later(2500*time.Millisecond, func() {
+				n.Start()
+				home(true)
+			})
+		default:
+			f.Zone.Remove(label)
+			later(2500*time.Millisecond, func() { home(false) })
+		}
+		mu.Unlock()
+	}
+}
--- /dev/null
+++ b/cmd/gullfall-lab/main.go
@@ -0,0 +1,52 @@
+// Command gullfall-lab shows and measures the real program among stand-ins: demo is for who has just cloned the
+// repository, the others are measurements. This file owns flags, output and exit statuses: 1 where a rule broke or a
+// bound was missed. It is the only program that links the stand-ins.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Demo  demoCmd  `cmd:"" help:"Start a fleet of stand-ins and the real gullfall, ask queries, kill, drain and flap data nodes, and check the rules."`
+	Dnssd dnssdCmd `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("gullfall-lab"), kong.Description("Shows and measures gullfall among stand-ins, on loopback."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "gullfall-lab:", err)
+		os.Exit(1)
+	}
+}
+
+// binary is where gullfall lies: beside this program unless a flag says otherwise.
+func binary(flag string) string {
+	if flag != "" {
+		return flag
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "bin/gullfall"
+	}
+	return filepath.Join(filepath.Dir(self), "gullfall")
+}
+
+// writeJSON writes a report for machines; an empty path means that none is wanted.
+func writeJSON(path string, report any) error {
+	if path == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(raw, '\n'), 0o644)
+}
--- a/internal/dnssd/client.go
+++ b/internal/dnssd/client.go
@@ -73,7 +73,8 @@
 func (e *rcodeError) Error() string { return fmt.Sprintf("%s: %s", e.name, dns.RcodeToString[e.code]) }
 
 // Ask asks one server one question: over UDP from a port and with an id of chance, and over TCP where the answer was
-// cut. An answer is returned only where it is one to the question and says NOERROR or NXDOMAIN.
+// cut. An answer is returned only where it is one to the question and says NOERROR or NXDOMAIN. It may be cut over TCP
+// too, where it takes more than 64 KiB.
 func (c *Client) Ask(ctx context.Context, server string, k *Key, name string, kind uint16) (*dns.Msg, error) {
 	q := new(dns.Msg).SetQuestion(dns.Fqdn(name), kind)
 	q.SetEdns0(udpSize, false)
@@ -88,8 +89,6 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case a.Truncated:
-		return nil, fmt.Errorf("%s: cut over TCP too", name)
 	case a.Rcode != dns.RcodeSuccess && a.Rcode != dns.RcodeNameError:
 		return nil, &rcodeError{name, a.Rcode}
 	}
--- a/internal/dnssd/follow.go
+++ b/internal/dnssd/follow.go
@@ -71,7 +71,8 @@
 	apex      string
 	noMoves   time.Time // no transfer is asked for until then
 	failures  int
-	relayed   bool
+	relayed   bool // the last answers came without authority
+	cut       bool // the last list came only in part
 	ttl       time.Duration
 	troubles  map[string]string // by instance, as logged
 	transfers int
@@ -201,7 +202,7 @@
 		}
 		return false
 	}
-	f.undone = false
+	f.undone, f.cut = false, false
 	f.transfers++
 	// What a name server leaves out is known to be missing: the zone is all here.
 	f.held, f.whole, f.serial = next, true, serial
@@ -233,12 +234,13 @@
 		next = f.held.clone()
 	}
 	fresh := map[key]bool{}
+	f.cut = false
 	for _, kind := range f.kinds() {
 		a, err := f.Client.Ask(ctx, server, f.Zone.Key, kind, dns.TypePTR)
 		if err != nil {
 			return err
 		}
-		f.relayed = f.relayed || !a.Authoritative
+		f.relayed, f.cut = f.relayed || !a.Authoritative, f.cut || a.Truncated
 		for k := range next.replace(keyOf(kind, dns.TypePTR), a, time.Now()) {
 			fresh[k] = true
 		}
@@ -329,7 +331,10 @@
 	f.trouble(out.problems)
 	u := membership.Update{Full: true, Records: out.nodes, Serial: f.serial, Serialled: f.dated,
 		Lease: min(max(out.ttl, leastLease), mostLease)}
-	if f.relayed {
+	switch {
+	case f.cut:
+		u.Basis = membership.Truncated
+	case f.relayed:
 		u.Basis = membership.Relayed
 	}
 	if f.ttl = out.ttl; !complete && f.relayed && len(out.nodes) == 0 {
--- a/internal/dnssd/names.go
+++ b/internal/dnssd/names.go
@@ -39,15 +39,16 @@
 
 func digit(c byte) bool { return c >= '0' && c <= '9' }
 
-// Escape turns an instance's label, which may hold spaces, dots and UTF-8, into the presentation form.
+// Escape turns an instance's label, which may hold spaces, dots and UTF-8, into the presentation form, just as the DNS
+// library writes it: names are compared in that form.
 func Escape(label string) string {
 	var b strings.Builder
 	for i := 0; i < len(label); i++ {
 		switch c := label[i]; {
-		case c == '.' || c == '\\' || c == '"' || c == '(' || c == ')' || c == ';' || c == '@' || c == '$':
+		case strings.IndexByte(". '@;()\"\\", c) >= 0:
 			b.WriteByte('\\')
 			b.WriteByte(c)
-		case c <= ' ' || c >= 0x7f:
+		case c < ' ' || c >= 0x7f:
 			fmt.Fprintf(&b, `\%03d`, c)
 		default:
 			b.WriteByte(c)
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,285 @@
+// Package fleet starts what a measurement needs round the real program: stand-in data nodes, a zone on two servers, a
+// directory, and bin/gullfall itself with a configuration of its own. All of it is on loopback, in a folder that goes
+// with it. It must never leave a process behind, nor end one that it has not started.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"gullfall/internal/lab/directory"
+	"gullfall/internal/lab/load"
+	"gullfall/internal/lab/nameserver"
+	"gullfall/internal/lab/nodes"
+)
+
+// Options say what is started.
+type Options struct {
+	Nodes    int
+	Listed   int // of them, those that discovery names and the zone does not
+	Cells    int
+	Shards   int
+	TTL      uint32
+	Transfer bool
+	Notify   bool
+	Hollow   bool // the data nodes are records only; nothing listens there
+	Takes    time.Duration
+	Binary   string // of gullfall
+	Seed     uint64
+}
+
+// Fleet is what was started.
+type Fleet struct {
+	Options
+	Zone      *nameserver.Zone
+	Servers   []*nameserver.Server
+	Directory *directory.Directory
+	Nodes     []*nodes.Node
+	Ledger    *nodes.Ledger
+	Front     string // where the coordinator listens
+
+	dir    string
+	cmd    *exec.Cmd
+	ended  chan error
+	chance *rand.Rand
+}
+
+// Domain is the zone's.
+const Domain = "recife-centro.example."
+
+// Classes are those of the configuration that a Fleet writes.
+var Classes = []load.Class{{Name: "lookup", Parts: 1, Share: 0.7, Deadline: time.Second}, {Name: "report", Parts: 8, Share: 0.3, Deadline: 2 * time.Second}}
+
+// Start starts a fleet. The caller stops it, also after an error if it is not nil.
+func Start(ctx context.Context, o Options) (f *Fleet, err error) {
+	f = &Fleet{Options: o, Ledger: nodes.NewLedger(), ended: make(chan error, 1), chance: rand.New(rand.NewPCG(o.Seed, 2))}
+	if f.dir, err = os.MkdirTemp("", "gullfall-lab-"); err != nil {
+		return f, err
+	}
+	if f.Directory, err = directory.Start(); err != nil {
+		return f, err
+	}
+	f.Zone = nameserver.NewZone(Domain, o.TTL)
+	for range 2 {
+		s, err := nameserver.Start(f.Zone, nil)
+		if err != nil {
+			return f, err
+		}
+		f.Servers = append(f.Servers, s)
+		if !o.Transfer {
+			s.Do("transfer off")
+		}
+	}
+	var instances []nameserver.Instance
+	for i := range o.Nodes {
+		n := &nodes.Node{ID: fmt.Sprintf("tabuleiro-%d", i), Cell: i % o.Cells, Proto: "frames", Ledger: f.Ledger, Takes: o.Takes}
+		if i%4 == 3 && i >= o.Listed {
+			n.Proto = "flight"
+		}
+		f.Nodes = append(f.Nodes, n)
+		if !o.Hollow {
+			if err := n.Start(); err != nil {
+				return f, err
+			}
+		}
+		if i < o.Listed {
+			f.Directory.Set(Entry(n, "SERVING"))
+		} else {
+			instances = append(instances, f.Instance(n, ""))
+		}
+	}
+	f.Zone.Set(instances...)
+	return f, f.run(ctx)
+}
+
+// Entry is what discovery tells of a data node.
+func Entry(n *nodes.Node, state string) directory.Entry {
+	return directory.Entry{ID: n.ID, Addr: n.Addr(), Zone: "a", Cell: n.Cell, State: state, Weight: 1, Started: n.Started.UnixMilli()}
+}
+
+// Instance is what the zone tells of a data node; further strings go into its TXT record.
+func (f *Fleet) Instance(n *nodes.Node, state string) nameserver.Instance {
+	i := nameserver.Instance{Label: strings.ReplaceAll(n.ID, "-", " "), Service: "_dn._tcp", Weight: 100,
+		Text: []string{"id=" + n.ID, "cell=" + strconv.Itoa(n.Cell), "zone=a", "proto=" + n.Proto}}
+	if state != "" {
+		i.Text = append(i.Text, "state="+state)
+	}
+	if f.Hollow {
+		var number int
+		fmt.Sscanf(n.ID, "tabuleiro-%d", &number)
+		i.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(number >> 8), byte(number)}), 7000)
+		return i
+	}
+	i.Addr = netip.MustParseAddrPort(n.Addr())
+	i.Text = append(i.Text, "started_ms="+strconv.FormatInt(n.Started.UnixMilli(), 10))
+	return i
+}
+
+// Chance is the fleet's own source of chance.
+func (f *Fleet) Chance() *rand.Rand { return f.chance }
+
+// free is a loopback address that nobody uses just now.
+func free(network string) string {
+	if network == "udp" {
+		pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return ""
+		}
+		defer pc.Close()
+		return pc.LocalAddr().String()
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return ""
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// run writes the configuration, starts the program and waits until it serves.
+func (f *Fleet) run(ctx context.Context) error {
+	f.Front = free("tcp")
+	notify := ""
+	if f.Notify {
+		notify = free("udp")
+		f.Zone.Notify(notify, nil)
+	}
+	deploy := fmt.Sprintf("[dnssd]\nnotify = %q\nallow = [\"127.0.0.0/8\"]\n[[dnssd.zone]]\ndomain = %q\nservers = [%q, %q]\ntransfer = %v\n",
+		notify, Domain, f.Servers[0].Addr(), f.Servers[1].Addr(), f.Transfer)
+	settings := fmt.Sprintf(`{"TickS":0.005,"Az":"a","Balancers":1,"Discovery":"automatic",
+  "Classes":[{"Name":"lookup","Effect":"safe","AimS":0.5,"HardLimitS":1,"Gain":1},
+             {"Name":"report","Effect":"safe","AimS":1,"HardLimitS":2,"Gain":3}],
+  "FamilyInfo":{"Sets":%d,"Slabs":%d,"Width":2,"BundleMax":8,"ClassNeed":[1,1],"FloorByClass":[1,0.75],"PartialEarns":[0,0.5]},
+  "Rules":{"DrainGraceS":2,"FallMultiple":2,"TipAfterS":1,"StartCapacity":0.3,"WarmAfterS":5},
+  "Limits":{"Cancel":true,"SendCap":3,"ConnectTimeoutS":0.25,"ConnIdleS":30,"StreamsPerConn":32,"RetryAfter":true,"MaxRetryAfterS":2}}`,
+		f.Cells, f.Shards)
+	config := fmt.Sprintf("{ // written by gullfall-lab\n \"name\":\"n0\",\"listen\":%q,\"discovery\":%q,\"seed\":\"%x\",\n \"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n \"settings\":%s}\n",
+		f.Front, f.Directory.Addr(), f.Seed+1, settings)
+	if err := os.MkdirAll(filepath.Join(f.dir, "deploy"), 0o755); err != nil {
+		return err
+	}
+	for name, text := range map[string]string{"deploy/gullfall.toml": deploy, "config.json": config} {
+		if err := os.WriteFile(filepath.Join(f.dir, name), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	log, err := os.Create(filepath.Join(f.dir, "gullfall.log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	binary, err := filepath.Abs(f.Binary)
+	if err != nil {
+		return err
+	}
+	f.cmd = exec.Command(binary)
+	f.cmd.Dir, f.cmd.Stderr, f.cmd.Stdout = f.dir, log, log
+	f.cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(f.dir, "config.json"), "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=")
+	if err := f.cmd.Start(); err != nil {
+		f.cmd = nil
+		return fmt.Errorf("starting %s: %w; build it with: go build -o bin/ ./cmd/...", f.Binary, err)
+	}
+	go func() { f.ended <- f.cmd.Wait() }()
+	for ctx.Err() == nil {
+		if nc, err := net.Dial("tcp", f.Front); err == nil {
+			nc.Close()
+			break
+		}
+		select {
+		case err := <-f.ended:
+			f.ended <- err
+			return fmt.Errorf("gullfall ended at its start: %v\n%s", err, f.Log(1000))
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return ctx.Err()
+}
+
+// Log is the end of what the program has logged.
+func (f *Fleet) Log(bytes int) string {
+	raw, _ := os.ReadFile(filepath.Join(f.dir, "gullfall.log"))
+	return string(raw[max(0, len(raw)-bytes):])
+}
+
+// Logged counts the lines of the log that hold a text.
+func (f *Fleet) Logged(text string) int {
+	raw, _ := os.ReadFile(filepath.Join(f.dir, "gullfall.log"))
+	n := 0
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// CPU is the processor time that the program has used.
+func (f *Fleet) CPU() time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", f.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond // in hundredths of a second
+}
+
+// Memory is what the program holds in memory, in MB.
+func (f *Fleet) Memory() int {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// Questions are those that the servers were asked.
+func (f *Fleet) Questions() (n int) {
+	for _, s := range f.Servers {
+		n += s.Asked(0)
+	}
+	return n
+}
+
+// Stop ends the program by SIGTERM and everything else after it. It tells of a program that did not end well.
+func (f *Fleet) Stop() (err error) {
+	if f.cmd != nil {
+		f.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case err = <-f.ended:
+		case <-time.After(30 * time.Second):
+			f.cmd.Process.Kill()
+			<-f.ended
+			err = errors.New("gullfall did not end within 30 s of SIGTERM")
+		}
+	}
+	for _, n := range f.Nodes {
+		n.Kill()
+	}
+	for _, s := range f.Servers {
+		s.Close()
+	}
+	if f.Directory != nil {
+		f.Directory.Close()
+	}
+	return errors.Join(err, os.RemoveAll(f.dir))
+}
