--- a/cmd/gullfall-lab/dnssd.go
+++ b/cmd/gullfall-lab/dnssd.go
@@ -14,6 +14,9 @@
 	"syscall"
 	"time"
 
+	"github.com/miekg/dns"
+
+	"gullfall/internal/dnssd"
 	"gullfall/internal/lab/fleet"
 	"gullfall/internal/lab/load"
 	"gullfall/internal/lab/nodes"
@@ -64,6 +67,67 @@
 	ColdReturns   int     `json:"cold_returns"`
 	ColdPartsEach float64 `json:"parts_in_first_cold_second"`
 	PartsEach     float64 `json:"parts_a_second_and_node"`
+
+	// The same run, seen by one who asks again after half of the time to live, 30 s at most, as gullfall once did.
+	BaselineNoticed int     `json:"baseline_removals_noticed"`
+	BaselineWorst   float64 `json:"baseline_worst_ms"`
+	BaselineMedian  float64 `json:"baseline_median_ms"`
+}
+
+// baseline asks for the list of instances at half of their time to live, and notes how long after a removal it
+// learns of it.
+type baseline struct {
+	mu      sync.Mutex
+	removed map[string]time.Time // by label, while the record is away
+	noticed map[string]bool
+	took    []time.Duration
+}
+
+func (b *baseline) gone(label string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.removed[label] = time.Now()
+}
+
+func (b *baseline) back(label string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.removed, label)
+	delete(b.noticed, label)
+}
+
+func (b *baseline) run(ctx context.Context, f *fleet.Fleet, ttl uint32) {
+	pause := min(time.Duration(ttl)*time.Second/2, 30*time.Second)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		m, _, err := new(dns.Client).Exchange(new(dns.Msg).SetQuestion("_dn._tcp."+fleet.Domain, dns.TypePTR), f.Servers[1].Addr())
+		if err != nil {
+			continue
+		}
+		if m.Truncated {
+			if m, _, err = (&dns.Client{Net: "tcp"}).Exchange(new(dns.Msg).SetQuestion("_dn._tcp."+fleet.Domain, dns.TypePTR), f.Servers[1].Addr()); err != nil {
+				continue
+			}
+		}
+		listed := map[string]bool{}
+		for _, rr := range m.Answer {
+			if label, err := dnssd.Instance(rr.(*dns.PTR).Ptr, "_dn._tcp."+fleet.Domain); err == nil {
+				listed[label] = true
+			}
+		}
+		b.mu.Lock()
+		for label, at := range b.removed {
+			if !listed[label] && !b.noticed[label] {
+				b.noticed[label] = true
+				b.took = append(b.took, time.Since(at))
+			}
+		}
+		b.mu.Unlock()
+	}
 }
 
 // Run measures.
@@ -91,12 +155,18 @@
 	defer cancel()
 	r := dnssdReport{Nodes: d.Nodes, TTL: d.TTL, Notify: d.Notify, Transfer: !d.Browse, Cores: runtime.NumCPU()}
 	var wg sync.WaitGroup
+	old := &baseline{removed: map[string]time.Time{}, noticed: map[string]bool{}}
 	if d.Rest {
 		<-ctx.Done()
 	} else {
 		wg.Go(func() { l.Run(ctx) })
 		time.Sleep(500 * time.Millisecond)
-		r.Flaps, r.Drains = d.change(ctx, f)
+		wg.Go(func() { old.run(ctx, f, d.TTL) })
+		r.Flaps, r.Drains = d.change(ctx, f, old)
+		slices.Sort(old.took)
+		if r.BaselineNoticed = len(old.took); len(old.took) > 0 {
+			r.BaselineWorst, r.BaselineMedian = ms(old.took[len(old.took)-1]), ms(old.took[len(old.took)/2])
+		}
 	}
 	wg.Wait()
 	took := time.Since(start)
@@ -123,6 +193,10 @@
 		fmt.Printf("queries %d: served %d, refused %d, failed %d, lost %d, wrong %d; p50 %.1f ms, p99 %.1f ms\n", r.Asked, r.Served, r.Refused, r.Failed, r.Lost, r.Wrong, r.P50, r.P99Query)
 		fmt.Printf("attempts: twins %d, of one part %d at most; a data node back from the dead began %.1f parts in its first second, others %.1f\n", r.Twins, r.MostAttempts, r.ColdPartsEach, r.PartsEach)
 	}
+	if !d.Rest {
+		fmt.Printf("who asks at half of the time to live, 30 s at most, noticed %d of the removals, %.0f ms after them at the median, %.0f ms at worst\n",
+			r.BaselineNoticed, r.BaselineMedian, r.BaselineWorst)
+	}
 	fmt.Printf("DNS questions %.1f a second; %.2f%% of a core, %d MB\n", r.Questions, 100*r.CPU, r.MemoryMB)
 	if werr := writeJSON(d.JSON, r); werr != nil {
 		return werr
@@ -145,7 +219,7 @@
 
 // change lets records go and come back, until ctx ends: each third one flaps within 200 ms, each fifth drains before
 // it goes, each seventh belongs to a process that dies and starts anew. A quarter of the data nodes at most is away.
-func (d dnssdCmd) change(ctx context.Context, f *fleet.Fleet) (flaps, drains int) {
+func (d dnssdCmd) change(ctx context.Context, f *fleet.Fleet, old *baseline) (flaps, drains int) {
 	away := map[string]bool{}
 	var mu sync.Mutex
 	var back sync.WaitGroup
@@ -180,28 +254,33 @@
 		home := func(cold bool) {
 			f.Ledger.On(n.ID, cold)
 			f.Zone.Set(f.Instance(n, "serving"))
+			old.back(label)
 			delete(away, n.ID)
 		}
+		remove := func() {
+			f.Zone.Remove(label)
+			old.gone(label)
+		}
 		f.Ledger.Off(n.ID)
 		switch {
 		case i%3 == 0:
 			flaps++
-			f.Zone.Remove(label)
+			remove()
 			later(200*time.Millisecond, func() { home(false) })
 		case i%5 == 0:
 			drains++
 			f.Zone.Set(f.Instance(n, "draining"))
-			later(2500*time.Millisecond, func() { f.Zone.Remove(label) })
+			later(2500*time.Millisecond, remove)
 			later(3500*time.Millisecond, func() { home(false) })
 		case i%7 == 0:
-			f.Zone.Remove(label)
+			remove()
 			later(time.Second, func() { n.Kill() })
 			later(2500*time.Millisecond, func() {
 				n.Start()
 				home(true)
 			})
 		default:
-			f.Zone.Remove(label)
+			remove()
 			later(2500*time.Millisecond, func() { home(false) })
 		}
 		mu.Unlock()
--- a/cmd/gullfall/main_test.go
+++ b/cmd/gullfall/main_test.go
@@ -129,6 +129,10 @@
 		if got := get(listen, "/up"); got != "HTTP/1.1 200 OK" && time.Since(start) < listenUntil {
 			t.Errorf("round %d: a client that comes 0.6 s after SIGTERM gets %q", round, got)
 		}
+		list := new(dns.Msg).SetQuestion("_gullfall._tcp.local.", dns.TypePTR)
+		if m, _, err := new(dns.Client).Exchange(list, records); err != nil || len(m.Answer) != 0 {
+			t.Errorf("round %d: who browses finds us while we drain: %v, %v", round, m, err)
+		}
 		if err := <-ended; err != nil {
 			t.Errorf("round %d: %v", round, err)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -388,6 +388,15 @@
 			events = append(events, inbox[i].event)
 		}
 	}
+	lists, rest := []aggregator.Event{}, []aggregator.Event{}
+	for _, e := range events {
+		if isList(e.Kind) {
+			lists = append(lists, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	events = append(append(lists, c.lists()...), rest...)
 	for _, q := range c.queries {
 		if !now.Before(q.Deadline) {
 			// The module ends queries earlier; this is the backstop that no query outlives its client.
@@ -437,6 +446,25 @@
 	return next
 }
 
+// lists takes out of the inbox what has just changed in the list, by what was seen in this very round: an attempt that
+// follows one that failed is to go by it.
+func (c *Core) lists() (events []aggregator.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inbox = slices.DeleteFunc(c.inbox, func(in input) bool {
+		if isList(in.event.Kind) {
+			events = append(events, in.event)
+			return true
+		}
+		return false
+	})
+	return events
+}
+
+func isList(k aggregator.EventKind) bool {
+	return k == aggregator.ListChanged || k == aggregator.ListReplaced || k == aggregator.ListRemembered
+}
+
 // accept applies an input to the core's own accounts and tells whether the module is to hear of it.
 func (c *Core) accept(in *input, now time.Time) bool {
 	switch in.event.Kind {
--- a/internal/dnssd/follow_test.go
+++ b/internal/dnssd/follow_test.go
@@ -295,6 +295,24 @@
 			if whole := s.Messages(); n < whole && s.Asked(dns.TypePTR) == 0 {
 				t.Errorf("cut at %d of %d messages: the zone was not browsed", n, whole)
 			}
+			// The same for a transfer of changes, which follows a whole one.
+			later := nameserver.NewZone("club.example.", 4500)
+			s2, err := nameserver.Start(later, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s2.Close()
+			s2.PerMessage(1)
+			own2 := &rig{T: t, zone: later, servers: []*nameserver.Server{s2}}
+			own2.table, _ = membership.New(membership.Config{})
+			own2.source = own2.table.Source(membership.Spec{Name: "zone"})
+			own2.f = &dnssd.Follower{Zone: own.f.Zone, Client: own.f.Client, To: own2, Log: own.f.Log, Poll: 50 * time.Millisecond}
+			own2.f.Zone.Servers = []string{s2.Addr()}
+			own2.do(0, "add a 127.0.0.1:1001", "add b 127.0.0.1:1002")
+			go own2.f.Run(t.Context())
+			own2.until(both)
+			own2.do(0, fmt.Sprint("cut ", n), "remove a")
+			own2.until("b serving")
 		})
 	}
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -370,6 +370,29 @@
 	expect("a draining one is none", "second0", "second1")
 }
 
+// TestBusy: a data node that turns everything away, as one that drains does before its record says so, is doubted; what
+// is turned away now and then is not a sign.
+func TestBusy(t *testing.T) {
+	s := newStand(t, Config{})
+	s.add(s.dns.Told(at(0), Update{Full: true, Records: []Record{{ID: "a", Addr: "x"}, {ID: "b", Addr: "y", Priority: 10}}}))
+	for i := range 100 {
+		e := Turned
+		if i%10 == 9 {
+			e = Answered
+		}
+		s.add(s.t.Seen(at(float64(i)/100), "a", e))
+	}
+	if s.list["b"].State != Draining {
+		t.Error("a data node that is full now and then is doubted")
+	}
+	for i := range 16 {
+		s.add(s.t.Seen(at(2+float64(i)/100), "a", Turned))
+	}
+	if s.list["b"].State != Serving || s.list["a"].State != Serving {
+		t.Errorf("one that turns all away: %v", s.list)
+	}
+}
+
 // TestBounds: months of ever new ids leave no more than the past that Config allows, and a source names no more
 // than it may.
 func TestBounds(t *testing.T) {
