--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -13,8 +13,9 @@
 )
 
 type commands struct {
-	Demo  demoCmd  `cmd:"" help:"Start a fleet of stand-ins and the real gullfall, ask queries, kill, drain and flap data nodes, and check the rules."`
-	Dnssd dnssdCmd `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
+	Demo   demoCmd   `cmd:"" help:"Start a fleet of stand-ins and the real gullfall, ask queries, kill, drain and flap data nodes, and check the rules."`
+	Flight flightCmd `cmd:"" help:"Run the conformance suite of the second front, and measure it."`
+	Dnssd  dnssdCmd  `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
 }
 
 func main() {
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -110,7 +110,15 @@
 	if err := findNodes(ctx, deploy, cfg, c, log, slots, kept); err != nil {
 		return err
 	}
-	go reload(ctx, reloads, cfg, watch, log)
+	var second *flight.Server
+	var own *dnssd.Service
+	served := make(chan error, 2)
+	if deploy.Flight.Listen != "" {
+		if second, own, err = startFlight(ctx, deploy, cfg, c, log, served); err != nil {
+			return err
+		}
+	}
+	go reload(ctx, reloads, cfg, watch, second, log)
 
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -124,17 +132,9 @@
 	}
 	clients := &platform.Clients{Core: c, Log: log, Most: most, Busy: cfg.Limits.Sockets / 3,
 		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16, Again: c.Again()}
-	served := make(chan error, 2)
 	go func() { served <- clients.Serve(ln) }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 
-	var second *flight.Server
-	var own *dnssd.Service
-	if deploy.Flight.Listen != "" {
-		if second, own, err = startFlight(ctx, deploy, cfg, c, log, served); err != nil {
-			return err
-		}
-	}
 	select {
 	case err := <-served:
 		return err
@@ -159,8 +159,10 @@
 }
 
 // reload takes in the configuration anew at each signal, until ctx ends; during a drain too, as the list of data
-// nodes still counts then. A faulty one changes nothing.
-func reload(ctx context.Context, signals <-chan os.Signal, cfg config.Config, watch *platform.Watch, log *slog.Logger) {
+// nodes still counts then. A faulty one changes nothing. Of our own file the second front's people, keys and limits hold
+// at once, where it was on at the start.
+func reload(ctx context.Context, signals <-chan os.Signal, cfg config.Config, watch *platform.Watch, second *flight.Server,
+	log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -172,6 +174,16 @@
 			log.Error("configuration not taken; the old one stays", "cause", err)
 			continue
 		}
+		if second != nil {
+			deploy, err := config.LoadDeploy(config.DeployFile, cfg.Name)
+			if err == nil {
+				err = second.Reload(deploy.Flight.People(), deploy.Flight.Keys(), deploy.Flight.Door())
+			}
+			if err != nil {
+				log.Error("configuration not taken; the old one stays", "cause", err)
+				continue
+			}
+		}
 		if len(restart) > 0 {
 			log.Warn("changes need a restart; the old values stay", "keys", restart)
 		}
@@ -189,7 +201,15 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("flight.listen: %w", err)
 	}
-	server := flight.NewServer(c, log, int64(cfg.Limits.MemoryMB)<<20/4)
+	options := flight.Options{Core: c, Log: log, Memory: int64(cfg.Limits.MemoryMB) << 20 / 4, Door: deploy.Flight.Door(),
+		People: deploy.Flight.People(), Keys: deploy.Flight.Keys(), Shards: cfg.Settings.Shards, Covered: c.Covered}
+	for _, class := range cfg.Settings.Classes {
+		options.Classes = append(options.Classes, flight.Class{Name: class.Name, Limit: class.Deadline, Schema: deploy.Flight.Schema(class.Name)})
+	}
+	server, err := flight.New(options)
+	if err != nil {
+		return nil, nil, err
+	}
 	go func() { served <- server.Serve(ln, min(deploy.Flight.Connections, cfg.Limits.Sockets/8)) }()
 	log.Info("serving Arrow Flight", "listen", deploy.Flight.Listen)
 	d := deploy.DNSSD
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -40,12 +40,6 @@
 	Format string // text or json
 }
 
-// FlightFront is the second front.
-type FlightFront struct {
-	Listen      string
-	Connections int
-}
-
 // DNSSD is what is browsed, and what is described.
 type DNSSD struct {
 	Serve, Domain string
@@ -202,6 +196,7 @@
 	if d.Flight.Connections < 0 {
 		fault("flight.connections: %d is negative", d.Flight.Connections)
 	}
+	faults = append(faults, d.Flight.check()...)
 	faults = append(faults, d.DNSSD.check()...)
 	if d.DNSSD.Serve != "" && d.Flight.Listen == "" {
 		fault("dnssd.serve: there is no service to describe while flight.listen is empty")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gullfall/aggregator"
@@ -35,6 +36,7 @@
 	Deadline time.Time
 	Text     string // what each part carries
 	Parts    []Part
+	In       *atomic.Int32 // counts the parts that have come, for who looks on; may be nil
 }
 
 // Part is one shard's share of a query.
@@ -222,6 +224,13 @@
 // weightSlack is by how much weights may miss 1 for being rounded.
 const weightSlack = 1e-3
 
+// Check finds what can't be asked, but for a deadline; the error wraps ErrInput and its message is for the client.
+func (c *Core) Check(q *Query) error {
+	asked := *q
+	asked.Deadline = time.Now().Add(time.Hour)
+	return c.check(&asked)
+}
+
 // check finds what can't be asked; the message is for the client.
 func (c *Core) check(q *Query) error {
 	if _, known := c.classes[q.Class]; !known {
@@ -507,6 +516,9 @@
 		}
 		if in.event.Outcome == aggregator.OK && !a.part.q.over && !a.part.in {
 			a.part.in, a.part.docs = true, in.docs
+			if a.part.q.In != nil {
+				a.part.q.In.Add(1)
+			}
 		}
 		c.forget(a.part)
 	}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -173,6 +173,27 @@
 	return all, why
 }
 
+// Covered is how many shards have a serving data node now.
+func (c *Core) Covered() (n int) {
+	c.mu.Lock()
+	cells := map[int]bool{}
+	for _, m := range c.table.List() {
+		if m.State == Serving {
+			cells[m.Cell] = true
+		}
+	}
+	c.mu.Unlock()
+	for shard := range c.set.Shards {
+		for i := range c.set.Reach {
+			if cells[(shard+i)%c.set.Cells] {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // join lets the membership table decide, applies what it has decided at once, ahead of the next Step, and passes it
 // on to the module: the whole list, where a source has told one, or what has changed.
 func (c *Core) join(full, remembered bool, decide func(now time.Time) membership.Result) {
--- /dev/null
+++ b/internal/flight/actions.go
@@ -0,0 +1,294 @@
+package flight
+
+// This file owns DoAction: flights that are cancelled or renewed, sessions, and the load report. It must never answer
+// for a flight or a session of another owner.
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	gen "github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/session"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"gullfall/internal/state"
+)
+
+// The options of a session.
+const (
+	optionCodec = "compression" // of the columns' bytes: none, zstd or lz4
+	optionRows  = "batch_rows"  // most rows of a batch, 1 to 65536
+)
+
+var sessionChoices = []state.Option{
+	{Name: optionCodec, Values: []string{"none", "zstd", "lz4"}},
+	{Name: optionRows, Check: func(v string) error {
+		if n, err := strconv.Atoi(v); err != nil || n < 1 || n > 65536 {
+			return fmt.Errorf("%q is not within 1 and 65536", v)
+		}
+		return nil
+	}},
+}
+
+// action is one that is offered.
+type action struct {
+	description string
+	do          func(s *Server, ctx context.Context, body []byte) (proto.Message, error)
+}
+
+var actions map[string]action
+
+func init() {
+	actions = map[string]action{
+		flight.CancelFlightInfoActionType:    {"Give a flight up. Body and result as Flight.proto has them.", (*Server).cancelFlight},
+		flight.RenewFlightEndpointActionType: {"Keep a flight's endpoint for longer.", (*Server).renewEndpoint},
+		flight.SetSessionOptionsActionType:   {"Set compression (none, zstd, lz4) and batch_rows for this session, opening one where there is none.", (*Server).setOptions},
+		flight.GetSessionOptionsActionType:   {"Tell the session's options.", (*Server).getOptions},
+		flight.CloseSessionActionType:        {"End the session.", (*Server).closeSession},
+		LoadAction:                           {"Tell how much this coordinator has open, as JSON.", nil},
+	}
+}
+
+// ListActions tells which actions are offered.
+func (s *Server) ListActions(_ *flight.Empty, stream flight.FlightService_ListActionsServer) error {
+	names := make([]string, 0, len(actions))
+	for name := range actions {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if err := stream.Send(&flight.ActionType{Type: name, Description: actions[name].description}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DoAction does one action.
+func (s *Server) DoAction(a *flight.Action, stream flight.FlightService_DoActionServer) error {
+	if a.GetType() == LoadAction {
+		s.mu.Lock()
+		flights, bytes := s.flights.Len()
+		report := map[string]any{"open": s.Core.Open(), "flights": flights, "flight_bytes": bytes, "sessions": s.sessions.Len()}
+		s.mu.Unlock()
+		raw, _ := json.Marshal(report)
+		return stream.Send(&flight.Result{Body: raw})
+	}
+	act, known := actions[a.GetType()]
+	if !known {
+		return status.Errorf(codes.Unimplemented, "action %q is not offered; ListActions tells which are", a.GetType())
+	}
+	result, err := act.do(s, stream.Context(), a.GetBody())
+	if err != nil {
+		return err
+	}
+	raw, err := proto.Marshal(result)
+	if err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	return stream.Send(&flight.Result{Body: raw})
+}
+
+// ticketed finds the flight that an endpoint belongs to, and its owner.
+func (s *Server) ticketed(ctx context.Context, e *flight.FlightEndpoint) (t fetchTicket, owner string, err error) {
+	owner, payload, err := s.keys.open(time.Now(), forFetch, e.GetTicket().GetTicket())
+	if err == nil {
+		err = json.Unmarshal(payload, &t)
+	}
+	if err != nil {
+		return t, "", status.Error(codes.InvalidArgument, err.Error())
+	}
+	if g := guestOf(ctx); g.named && owner != g.who.Owner {
+		return t, "", status.Error(codes.PermissionDenied, "the ticket belongs to another owner")
+	}
+	return t, owner, nil
+}
+
+// cancelFlight gives a flight up: parts that are out are given up at their data nodes by the core. A flight that is
+// polled is known by its descriptor, one that is complete by its endpoints.
+func (s *Server) cancelFlight(ctx context.Context, body []byte) (proto.Message, error) {
+	var req gen.CancelFlightInfoRequest
+	if err := proto.Unmarshal(body, &req); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "body: %v", err)
+	}
+	var id, owner string
+	switch info := req.GetInfo(); {
+	case len(info.GetEndpoint()) > 0:
+		t, from, err := s.ticketed(ctx, info.GetEndpoint()[0])
+		if err != nil {
+			return nil, err
+		}
+		id, owner = t.Flight, from
+	case sealed(info.GetFlightDescriptor().GetCmd()):
+		from, payload, err := s.keys.open(time.Now(), forPoll, info.GetFlightDescriptor().GetCmd())
+		if err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+		if g := guestOf(ctx); g.named && from != g.who.Owner {
+			return nil, status.Error(codes.PermissionDenied, "the descriptor belongs to another owner")
+		}
+		id, owner = string(payload), from
+	default:
+		return nil, status.Error(codes.InvalidArgument, "the info has neither an endpoint nor the descriptor of a poll")
+	}
+	s.mu.Lock()
+	running, was, err := s.flights.Cancel(time.Now(), id, owner)
+	if k := s.kept[id]; running && k != nil && k.stop != nil {
+		k.stop()
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return nil, stateStatus(err)
+	}
+	result := &gen.CancelFlightInfoResult{Status: gen.CancelStatus_CANCEL_STATUS_CANCELLED}
+	switch {
+	case running:
+		result.Status = gen.CancelStatus_CANCEL_STATUS_CANCELLING // its parts may be out for a moment yet
+	case was == state.Ready || was == state.Failed:
+		result.Status = gen.CancelStatus_CANCEL_STATUS_NOT_CANCELLABLE
+	}
+	return result, nil
+}
+
+// renewEndpoint keeps a flight for longer, and returns the endpoint with a ticket that holds as long.
+func (s *Server) renewEndpoint(ctx context.Context, body []byte) (proto.Message, error) {
+	var req gen.RenewFlightEndpointRequest
+	if err := proto.Unmarshal(body, &req); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "body: %v", err)
+	}
+	t, owner, err := s.ticketed(ctx, req.GetEndpoint())
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	until, err := s.flights.Renew(time.Now(), t.Flight, owner)
+	s.mu.Unlock()
+	if err != nil {
+		return nil, stateStatus(err)
+	}
+	payload, _ := json.Marshal(t)
+	return &flight.FlightEndpoint{ExpirationTime: timestamppb.New(until), Location: req.GetEndpoint().GetLocation(),
+		Ticket: &flight.Ticket{Ticket: s.keys.seal(forFetch, owner, until, payload)}}, nil
+}
+
+// sessionID is the session that a call names; empty for none.
+func sessionID(ctx context.Context) string {
+	if cookie, err := session.GetIncomingCookieByName(ctx, session.StatefulSessionCookieName); err == nil {
+		return cookie.Value
+	}
+	return ""
+}
+
+// sessionOptions are those of the session that a call names; none where it names none.
+func (s *Server) sessionOptions(ctx context.Context, g *guest) (o options, err error) {
+	id := sessionID(ctx)
+	if id == "" {
+		return o, nil
+	}
+	s.mu.Lock()
+	set, err := s.sessions.Options(time.Now(), id, g.who.Owner)
+	s.mu.Unlock()
+	if err != nil {
+		return o, stateStatus(err)
+	}
+	if o.codec = set[optionCodec]; o.codec == "none" {
+		o.codec = ""
+	}
+	if rows := set[optionRows]; rows != "" {
+		o.rows, _ = strconv.Atoi(rows) // checked when it was set
+	}
+	return o, nil
+}
+
+// optionText is an option's value as text; empty takes it back.
+func optionText(v *gen.SessionOptionValue) (string, bool) {
+	switch v := v.GetOptionValue().(type) {
+	case nil:
+		return "", true
+	case *gen.SessionOptionValue_StringValue:
+		return v.StringValue, true
+	case *gen.SessionOptionValue_Int64Value:
+		return strconv.FormatInt(v.Int64Value, 10), true
+	}
+	return "", false
+}
+
+func (s *Server) setOptions(ctx context.Context, body []byte) (proto.Message, error) {
+	var req gen.SetSessionOptionsRequest
+	if err := proto.Unmarshal(body, &req); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "body: %v", err)
+	}
+	result := &gen.SetSessionOptionsResult{Errors: map[string]*gen.SetSessionOptionsResult_Error{}}
+	fault := func(name string, v gen.SetSessionOptionsResult_ErrorValue) {
+		result.Errors[name] = &gen.SetSessionOptionsResult_Error{Value: v}
+	}
+	set := map[string]string{}
+	for name, v := range req.GetSessionOptions() {
+		if text, ok := optionText(v); ok {
+			set[name] = text
+		} else {
+			fault(name, gen.SetSessionOptionsResult_INVALID_VALUE)
+		}
+	}
+	id, owner := sessionID(ctx), guestOf(ctx).who.Owner
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if id == "" {
+		id = rand.Text()
+		if err := s.sessions.Open(now, id, owner); err != nil {
+			return nil, stateStatus(err)
+		}
+		cookie := http.Cookie{Name: session.StatefulSessionCookieName, Value: id}
+		grpc.SetHeader(ctx, metadata.Pairs("set-cookie", cookie.String()))
+	}
+	faults, err := s.sessions.Set(now, id, owner, set)
+	if err != nil {
+		return nil, stateStatus(err)
+	}
+	for name, err := range faults {
+		known := slices.ContainsFunc(sessionChoices, func(o state.Option) bool { return o.Name == name })
+		if errors.Is(err, state.ErrOption) && !known {
+			fault(name, gen.SetSessionOptionsResult_INVALID_NAME)
+		} else {
+			fault(name, gen.SetSessionOptionsResult_INVALID_VALUE)
+		}
+	}
+	return result, nil
+}
+
+func (s *Server) getOptions(ctx context.Context, _ []byte) (proto.Message, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set, err := s.sessions.Options(time.Now(), sessionID(ctx), guestOf(ctx).who.Owner)
+	if err != nil {
+		return nil, stateStatus(err)
+	}
+	result := &gen.GetSessionOptionsResult{SessionOptions: map[string]*gen.SessionOptionValue{}}
+	for name, value := range set {
+		result.SessionOptions[name] = &gen.SessionOptionValue{OptionValue: &gen.SessionOptionValue_StringValue{StringValue: value}}
+	}
+	return result, nil
+}
+
+func (s *Server) closeSession(ctx context.Context, _ []byte) (proto.Message, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.sessions.Close(time.Now(), sessionID(ctx), guestOf(ctx).who.Owner); err != nil {
+		return nil, stateStatus(err)
+	}
+	return &gen.CloseSessionResult{Status: gen.CloseSessionResult_CLOSED}, nil
+}
--- /dev/null
+++ b/internal/flight/auth.go
@@ -0,0 +1,160 @@
+package flight
+
+// This file owns who asks: credentials in headers, the handshake, and owners by network. It must never compare a secret
+// in a time that tells of it, nor say which half of a credential was wrong.
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/gaissmai/bart"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	gen "github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+)
+
+// Owner is one that may ask.
+type Owner struct {
+	Name     string
+	User     string // for basic credentials
+	Password string
+	Token    string // for bearer credentials
+}
+
+// People says who may ask. Its zero value lets all in and leaves the owner to the ticket.
+type People struct {
+	Owners   []Owner
+	Networks *bart.Table[string] // owner by network, where no credentials come; may be nil
+	Denied   *bart.Lite          // addresses that are turned away; may be nil
+	Allowed  *bart.Lite          // where not nil, only these are let in
+}
+
+// known tells whether anybody is to be known.
+func (p *People) known() bool { return len(p.Owners) > 0 || p.Networks != nil && p.Networks.Size() > 0 }
+
+func same(a, b string) bool {
+	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
+
+// basic finds the owner of a name and password.
+func (p *People) basic(user, password string) (owner string, ok bool) {
+	for _, o := range p.Owners {
+		if o.User != "" && same(o.User, user) && same(o.Password, password) {
+			owner, ok = o.Name, true
+		}
+	}
+	return owner, ok
+}
+
+// bearer finds the owner of a token that was given out by hand.
+func (p *People) bearer(token string) (owner string, ok bool) {
+	for _, o := range p.Owners {
+		if o.Token != "" && same(o.Token, token) {
+			owner, ok = o.Name, true
+		}
+	}
+	return owner, ok
+}
+
+// bearerFor is how long a token of a handshake holds.
+const bearerFor = time.Hour
+
+var errCredentials = status.Error(codes.Unauthenticated, "credentials are not known; send authorization: Basic or Bearer, or do a Handshake")
+
+// address is where a caller connects from.
+func address(ctx context.Context) netip.Addr {
+	if p, ok := grpcpeer.FromContext(ctx); ok {
+		if ap, err := netip.ParseAddrPort(p.Addr.String()); err == nil {
+			return ap.Addr().Unmap()
+		}
+	}
+	return netip.Addr{}
+}
+
+// caller finds who asks: by credentials, or else by network. named is false where nobody is to be known, so that the
+// ticket names the owner.
+func (s *Server) caller(ctx context.Context) (owner string, named bool, err error) {
+	people := s.people.Load()
+	addr := address(ctx)
+	if people.Denied != nil && people.Denied.Contains(addr) || people.Allowed != nil && !people.Allowed.Contains(addr) {
+		return "", false, status.Errorf(codes.PermissionDenied, "%v may not ask here", addr)
+	}
+	if !people.known() {
+		return "", false, nil
+	}
+	if md, ok := metadata.FromIncomingContext(ctx); ok && len(md.Get("authorization")) > 0 {
+		scheme, value, _ := strings.Cut(md.Get("authorization")[0], " ")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(scheme) {
+		case "basic":
+			raw, err := base64.StdEncoding.DecodeString(value)
+			user, password, ok := strings.Cut(string(raw), ":")
+			if err == nil && ok {
+				if owner, ok := people.basic(user, password); ok {
+					return owner, true, nil
+				}
+			}
+		case "bearer":
+			if owner, ok := people.bearer(value); ok {
+				return owner, true, nil
+			}
+			if raw, err := base64.RawURLEncoding.DecodeString(value); err == nil {
+				if owner, _, err := s.keys.open(time.Now(), forBearer, raw); err == nil {
+					return owner, true, nil
+				}
+			}
+		}
+		return "", false, errCredentials
+	}
+	if people.Networks != nil {
+		if owner, ok := people.Networks.Lookup(addr); ok {
+			return owner, true, nil
+		}
+	}
+	return "", false, errCredentials
+}
+
+// token is a bearer token for an owner.
+func (s *Server) token(owner string) string {
+	return base64.RawURLEncoding.EncodeToString(s.keys.seal(forBearer, owner, time.Now().Add(bearerFor), nil))
+}
+
+// Handshake takes a name and a password, as BasicAuth in the payload or as a header, and returns a bearer token, in the
+// payload and as a header.
+func (s *Server) Handshake(stream flight.FlightService_HandshakeServer) error {
+	people := s.people.Load()
+	if !people.known() {
+		return status.Error(codes.Unimplemented, "no credentials are needed here; name the owner in the ticket")
+	}
+	owner, named := "", false
+	req, err := stream.Recv()
+	if err != nil && err != io.EOF {
+		return err
+	}
+	if err == nil && len(req.GetPayload()) > 0 {
+		var b gen.BasicAuth
+		if proto.Unmarshal(req.GetPayload(), &b) == nil {
+			owner, named = people.basic(b.GetUsername(), b.GetPassword())
+		}
+		if !named {
+			return errCredentials
+		}
+	} else if owner, named, err = s.caller(stream.Context()); err != nil {
+		return err
+	}
+	token := s.token(owner)
+	stream.SetHeader(metadata.Pairs("authorization", "Bearer "+token))
+	return stream.Send(&flight.HandshakeResponse{Payload: []byte(token)})
+}
--- /dev/null
+++ b/internal/flight/codec.go
@@ -0,0 +1,393 @@
+package flight
+
+// This file owns how answers become record batches: schemas by class, the documents of a part as rows or as whole
+// batches, compression, sizes, and the metadata of each batch. It must never copy a row of a batch that comes as one,
+// mark as whole what is not, or pass on a batch of another schema.
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+
+	"gullfall/internal/core"
+)
+
+// Schema is that of answers of classes that have none of their own: documents as bytes.
+var Schema = arrow.NewSchema([]arrow.Field{
+	{Name: "shard", Type: arrow.PrimitiveTypes.Int32}, {Name: "doc", Type: arrow.BinaryTypes.Binary},
+}, nil)
+
+const (
+	// batchRows and batchBytes bound a record batch of an answer.
+	batchRows  = 1024
+	batchBytes = 256 << 10
+	// maxIPC bounds what is decoded of one document that is a batch.
+	maxIPC = 8 << 20
+)
+
+// Field is a column of a class's schema.
+type Field struct {
+	Name, Type string
+	Nullable   bool
+}
+
+// types are those that a column may have.
+var types = map[string]arrow.DataType{
+	"bool": arrow.FixedWidthTypes.Boolean, "int32": arrow.PrimitiveTypes.Int32, "int64": arrow.PrimitiveTypes.Int64,
+	"float64": arrow.PrimitiveTypes.Float64, "string": arrow.BinaryTypes.String, "binary": arrow.BinaryTypes.Binary,
+	"timestamp": arrow.FixedWidthTypes.Timestamp_ms, "date": arrow.FixedWidthTypes.Date32,
+	"dictionary": &arrow.DictionaryType{IndexType: arrow.PrimitiveTypes.Int32, ValueType: arrow.BinaryTypes.String},
+}
+
+// NewSchema makes a class's schema; an error names the faulty column.
+func NewSchema(fields []Field) (*arrow.Schema, error) {
+	if len(fields) == 0 {
+		return nil, errors.New("no columns")
+	}
+	var list []arrow.Field
+	seen := map[string]bool{}
+	for _, f := range fields {
+		t, known := types[strings.ToLower(f.Type)]
+		switch {
+		case f.Name == "" || seen[f.Name]:
+			return nil, fmt.Errorf("column %q: name is missing or another's", f.Name)
+		case !known:
+			return nil, fmt.Errorf("column %q: type %q is none of bool, int32, int64, float64, string, binary, timestamp, date, dictionary", f.Name, f.Type)
+		}
+		seen[f.Name] = true
+		list = append(list, arrow.Field{Name: f.Name, Type: t, Nullable: f.Nullable})
+	}
+	return arrow.NewSchema(list, nil), nil
+}
+
+// batchMeta goes with each batch of an answer.
+type batchMeta struct {
+	ID       string `json:"id,omitempty"`    // of an exchange's query
+	Shard    *int   `json:"shard,omitempty"` // of all rows, where they are of one
+	Complete bool   `json:"complete"`        // whether the answer is whole
+	Last     bool   `json:"last,omitempty"`
+	Missing  []int  `json:"missing,omitempty"` // with the last one: shards that the answer lacks
+}
+
+// options are what a client has asked for.
+type options struct {
+	codec string // zstd, lz4 or empty
+	rows  int    // most rows of a batch
+}
+
+// writerOptions are those of the IPC writer.
+func (o options) writerOptions(schema *arrow.Schema) []ipc.Option {
+	list := []ipc.Option{ipc.WithSchema(schema), ipc.WithAllocator(memory.DefaultAllocator)}
+	switch o.codec {
+	case "zstd":
+		list = append(list, ipc.WithZstd())
+	case "lz4":
+		list = append(list, ipc.WithLZ4())
+	}
+	return list
+}
+
+// batchWriter is where batches go.
+type batchWriter interface {
+	WriteWithAppMetadata(rec arrow.RecordBatch, meta []byte) error
+}
+
+// share is the part of an answer that one stream carries.
+type share struct {
+	id      string // of an exchange's query
+	whole   bool
+	hits    []core.Hit
+	missing []int
+}
+
+// size is the bytes that the documents of hits take.
+func size(hits []core.Hit) (n int64) {
+	for _, h := range hits {
+		for _, doc := range h.Docs {
+			n += int64(len(doc))
+		}
+	}
+	return n
+}
+
+// errBatch marks a data node's batch that is not of its class's schema.
+var errBatch = errors.New("batch is not of the class's schema")
+
+// write writes a share batch by batch; after each one sent is told how many bytes of documents it has carried.
+func write(out batchWriter, schema *arrow.Schema, s share, o options, sent func(bytes int64)) error {
+	if schema.Equal(Schema) {
+		return writeDocs(out, s, o, sent)
+	}
+	for i, h := range s.hits {
+		for j, doc := range h.Docs {
+			last := i == len(s.hits)-1 && j == len(h.Docs)-1
+			if err := writeBatch(out, schema, doc, o, func(end bool) []byte { return s.meta(&h.Shard, last && end) }); err != nil {
+				return fmt.Errorf("shard %d: %w", h.Shard, err)
+			}
+			sent(int64(len(doc)))
+		}
+	}
+	if len(s.hits) == 0 {
+		return writeEmpty(out, schema, s.meta(nil, true))
+	}
+	return nil
+}
+
+func (s *share) meta(shard *int, last bool) []byte {
+	m := batchMeta{ID: s.id, Complete: s.whole, Last: last}
+	if shard != nil {
+		n := *shard
+		m.Shard = &n
+	}
+	if last {
+		m.Missing = s.missing
+	}
+	raw, _ := json.Marshal(m)
+	return raw
+}
+
+func writeEmpty(out batchWriter, schema *arrow.Schema, meta []byte) error {
+	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+	defer b.Release()
+	rec := b.NewRecordBatch()
+	defer rec.Release()
+	return out.WriteWithAppMetadata(rec, meta)
+}
+
+// writeDocs writes documents as rows. Batches hold rows of several shards, up to their bounds.
+func writeDocs(out batchWriter, s share, o options, sent func(int64)) error {
+	b := array.NewRecordBuilder(memory.DefaultAllocator, Schema)
+	defer b.Release()
+	rows, bytes, first, several := 0, 0, 0, false
+	most := batchRows
+	if o.rows > 0 {
+		most = min(most, o.rows)
+	}
+	flush := func(last bool) error {
+		var shard *int
+		if rows > 0 && !several {
+			shard = &first
+		}
+		rec := b.NewRecordBatch()
+		defer rec.Release()
+		err := out.WriteWithAppMetadata(rec, s.meta(shard, last))
+		if err == nil {
+			sent(int64(bytes))
+		}
+		rows, bytes, several = 0, 0, false
+		return err
+	}
+	for _, h := range s.hits {
+		for _, doc := range h.Docs {
+			if rows > 0 && (rows >= most || bytes+len(doc) > batchBytes) {
+				if err := flush(false); err != nil {
+					return err
+				}
+			}
+			if rows == 0 {
+				first = h.Shard
+			}
+			several = several || h.Shard != first
+			b.Field(0).(*array.Int32Builder).Append(int32(h.Shard))
+			b.Field(1).(*array.BinaryBuilder).Append(doc)
+			rows, bytes = rows+1, bytes+len(doc)
+		}
+	}
+	return flush(true)
+}
+
+// EncodeBatch turns a batch into a document: an IPC stream of its own, whose columns are not copied by row.
+func EncodeBatch(rec arrow.RecordBatch) ([]byte, error) {
+	var buf bytes.Buffer
+	w := ipc.NewWriter(&buf, ipc.WithSchema(rec.Schema()))
+	if err := w.Write(rec); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// writeBatch writes the one batch of a document that is an IPC stream, sliced where it has too many rows. What lies
+// about its lengths makes the library panic or err; both end here.
+func writeBatch(out batchWriter, schema *arrow.Schema, doc []byte, o options, meta func(end bool) []byte) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("%w: %v", errBatch, cause)
+		}
+	}()
+	if len(doc) > maxIPC {
+		return fmt.Errorf("%w: %d bytes", errBatch, len(doc))
+	}
+	in, err := ipc.NewReader(bytes.NewReader(doc), ipc.WithAllocator(memory.DefaultAllocator))
+	if err != nil {
+		return fmt.Errorf("%w: %v", errBatch, err)
+	}
+	defer in.Release()
+	if !in.Schema().Equal(schema) {
+		return fmt.Errorf("%w: it is of %v", errBatch, in.Schema())
+	}
+	if !in.Next() {
+		return fmt.Errorf("%w: empty: %v", errBatch, in.Err())
+	}
+	rec := in.RecordBatch()
+	rec.Retain()
+	defer rec.Release()
+	if in.Next() {
+		return fmt.Errorf("%w: several in one document", errBatch)
+	} else if err := in.Err(); err != nil {
+		return fmt.Errorf("%w: %v", errBatch, err)
+	}
+	most := rec.NumRows()
+	if o.rows > 0 {
+		most = min(most, int64(o.rows))
+	}
+	if most == rec.NumRows() {
+		return out.WriteWithAppMetadata(rec, meta(true))
+	}
+	for from := int64(0); from < rec.NumRows(); from += most {
+		to := min(from+most, rec.NumRows())
+		part := rec.NewSlice(from, to)
+		err := out.WriteWithAppMetadata(part, meta(to == rec.NumRows()))
+		part.Release()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// streamWriter is a stream's writer.
+type streamWriter interface {
+	batchWriter
+	Close() error
+}
+
+// writer opens the writer of a stream. Compressed batches of a schema without dictionaries go through a press, since
+// an encoder of its own for each stream costs more than all that it compresses; dictionaries are a stream's own.
+func (s *Server) writer(stream flight.DataStreamWriter, schema *arrow.Schema, o options) streamWriter {
+	if o.codec == "" || slices.ContainsFunc(schema.Fields(), func(f arrow.Field) bool { return f.Type.ID() == arrow.DICTIONARY }) {
+		return flight.NewRecordWriter(stream, o.writerOptions(schema)...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.presses {
+		if p.codec == o.codec && p.schema.Equal(schema) {
+			return &pressed{stream: stream, press: p}
+		}
+	}
+	p := &press{codec: o.codec, schema: schema, options: o.writerOptions(schema)}
+	s.presses = append(s.presses, p) // as many as there are classes and codecs
+	return &pressed{stream: stream, press: p}
+}
+
+// press compresses batches of one schema for all streams, one at a time.
+type press struct {
+	codec   string
+	schema  *arrow.Schema
+	options []ipc.Option
+
+	mu   sync.Mutex // guards what follows; never held over a send
+	w    *ipc.Writer
+	out  caught
+	head *flight.FlightData // the schema's message
+}
+
+// caught keeps what an IPC writer writes.
+type caught struct{ list []*flight.FlightData }
+
+func (c *caught) Start() error { return nil }
+func (c *caught) Close() error { return nil }
+func (c *caught) WritePayload(p ipc.Payload) error {
+	meta := p.Meta()
+	defer meta.Release()
+	var body bytes.Buffer
+	if err := p.SerializeBody(&body); err != nil {
+		return err
+	}
+	c.list = append(c.list, &flight.FlightData{DataHeader: bytes.Clone(meta.Bytes()), DataBody: body.Bytes()})
+	return nil
+}
+
+// run compresses a batch; without one it returns the schema's message alone.
+func (p *press) run(rec arrow.RecordBatch) (head, body *flight.FlightData, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sound := false
+	defer func() {
+		if p.out.list = nil; !sound {
+			p.w, p.head = nil, nil // what it has left behind is not known
+		}
+	}()
+	if p.w == nil {
+		p.w = ipc.NewWriterWithPayloadWriter(&p.out, p.options...)
+		empty := array.NewRecordBuilder(memory.DefaultAllocator, p.schema)
+		defer empty.Release()
+		first := empty.NewRecordBatch()
+		defer first.Release()
+		if err := p.w.Write(first); err != nil {
+			return nil, nil, err
+		}
+		if len(p.out.list) != 2 {
+			return nil, nil, fmt.Errorf("%d messages where a schema and a batch were written", len(p.out.list))
+		}
+		p.head, p.out.list = p.out.list[0], nil
+	}
+	if rec != nil {
+		if err := p.w.Write(rec); err != nil {
+			return nil, nil, err
+		}
+		if len(p.out.list) != 1 {
+			return nil, nil, fmt.Errorf("%d messages where a batch was written", len(p.out.list))
+		}
+		body = p.out.list[0]
+	}
+	sound = true
+	return p.head, body, nil
+}
+
+// pressed is a stream whose batches a press compresses.
+type pressed struct {
+	stream flight.DataStreamWriter
+	press  *press
+	begun  bool
+}
+
+func (p *pressed) WriteWithAppMetadata(rec arrow.RecordBatch, meta []byte) error {
+	head, body, err := p.press.run(rec)
+	if err != nil {
+		return err
+	}
+	if err := p.begin(head); err != nil {
+		return err
+	}
+	body.AppMetadata = meta
+	return p.stream.Send(body)
+}
+
+func (p *pressed) begin(head *flight.FlightData) error {
+	if p.begun {
+		return nil
+	}
+	p.begun = true
+	return p.stream.Send(&flight.FlightData{DataHeader: head.DataHeader, DataBody: head.DataBody})
+}
+
+func (p *pressed) Close() error {
+	head, _, err := p.press.run(nil)
+	if err != nil {
+		return err
+	}
+	return p.begin(head)
+}
--- /dev/null
+++ b/internal/flight/exchange.go
@@ -0,0 +1,228 @@
+package flight
+
+// This file owns DoExchange: many queries on one stream, each with its own time, answered in any order. One goroutine
+// reads, one for each query waits for its answer, and answers are written one at a time. It must never read further
+// questions while the most that may be open are, nor leave a query out once the client has gone.
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"gullfall/internal/core"
+)
+
+// mostExchanged is how many queries of one exchange are open at once; further ones wait unread.
+const mostExchanged = 1024
+
+// asked is a question of an exchange, in the metadata of a message without a body: a plain ticket with an id of the
+// client's and the milliseconds that it will wait, or {"cancel":"id"}.
+type asked struct {
+	ID         string `json:"id"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	Cancel     string `json:"cancel"`
+}
+
+// told is what an exchange tells of a query that has no answer, in the metadata of a batch without rows.
+type told struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"` // a gRPC code's name
+	Message string `json:"message"`
+	RetryMS int64  `json:"retry_ms,omitempty"`
+}
+
+// exchange is one stream.
+type exchange struct {
+	s      *Server
+	g      *guest
+	stream flight.FlightService_DoExchangeServer
+	class  Class // of all its queries, as its descriptor names it
+	opts   options
+
+	mu   sync.Mutex // guards open
+	open map[string]context.CancelFunc
+
+	writing sync.Mutex // guards out; a slow reader holds it
+	out     streamWriter
+}
+
+// DoExchange answers many queries of one class on one stream. Its first message has a descriptor whose path is the class.
+func (s *Server) DoExchange(stream flight.FlightService_DoExchangeServer) error {
+	g := guestOf(stream.Context())
+	opts, err := s.sessionOptions(stream.Context(), g)
+	if err != nil {
+		return err
+	}
+	first, err := stream.Recv()
+	if err == io.EOF {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	path := first.GetFlightDescriptor().GetPath()
+	if first.GetFlightDescriptor().GetType() != flight.DescriptorPATH || len(path) != 1 {
+		return status.Error(codes.InvalidArgument, "the first message needs a descriptor whose path is a class")
+	}
+	ctx, stop := context.WithCancel(stream.Context())
+	e := &exchange{s: s, g: g, stream: stream, class: s.class(path[0]), opts: opts, open: map[string]context.CancelFunc{}}
+	var queries sync.WaitGroup
+	places := make(chan struct{}, mostExchanged)
+	defer func() {
+		stop()
+		queries.Wait() // each has had its final answer, or its parts are being given up
+	}()
+	for m := first; ; {
+		if len(m.GetDataHeader()) > 0 || len(m.GetDataBody()) > 0 {
+			return status.Error(codes.InvalidArgument, "questions go into the metadata of messages without a body")
+		}
+		if raw := m.GetAppMetadata(); len(raw) > 0 {
+			var q asked
+			if err := json.Unmarshal(raw, &q); err != nil {
+				return status.Errorf(codes.InvalidArgument, "question: %v", err)
+			}
+			if q.Cancel != "" {
+				e.cancel(q.Cancel)
+			} else if err := e.begin(ctx, q, raw, places, &queries); err != nil {
+				return err
+			}
+		}
+		if m, err = stream.Recv(); err == io.EOF {
+			queries.Wait()
+			e.writing.Lock()
+			defer e.writing.Unlock()
+			return e.writer().Close()
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
+// begin starts a query once there is a place for it. An error ends the exchange.
+func (e *exchange) begin(ctx context.Context, q asked, raw []byte, places chan struct{}, queries *sync.WaitGroup) error {
+	if q.ID == "" || len(q.ID) > 64 {
+		return status.Errorf(codes.InvalidArgument, "question with an id of %d bytes; 1 to 64 are allowed", len(q.ID))
+	}
+	if q.DeadlineMS <= 0 {
+		return e.tell(q.ID, status.Error(codes.InvalidArgument, "deadline_ms is needed"))
+	}
+	end := time.Now().Add(time.Duration(min(q.DeadlineMS, 3_600_000)) * time.Millisecond)
+	select {
+	case places <- struct{}{}:
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	e.mu.Lock()
+	_, twice := e.open[q.ID]
+	if !twice {
+		e.open[q.ID] = cancel
+	}
+	e.mu.Unlock()
+	if twice {
+		cancel()
+		<-places
+		return e.tell(q.ID, status.Error(codes.AlreadyExists, "a question of this id is open"))
+	}
+	queries.Go(func() {
+		defer func() {
+			cancel()
+			e.mu.Lock()
+			delete(e.open, q.ID)
+			e.mu.Unlock()
+			<-places
+		}()
+		if err := e.answer(ctx, q.ID, raw, end); err != nil {
+			e.tell(q.ID, err)
+		}
+	})
+	return nil
+}
+
+func (e *exchange) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if stop := e.open[id]; stop != nil {
+		stop()
+	}
+}
+
+// answer asks one query and writes its answer. What it returns is told; it is nil once an answer was begun.
+func (e *exchange) answer(ctx context.Context, id string, raw []byte, end time.Time) error {
+	s := e.s
+	q, t, err := s.parse(raw, e.g)
+	if err != nil {
+		return err
+	}
+	if t.Class != "" && t.Class != e.class.Name {
+		return status.Errorf(codes.InvalidArgument, "class %q on an exchange of class %q", t.Class, e.class.Name)
+	}
+	q.ID, q.Class, q.Deadline = rand.Text(), e.class.Name, end // the client's id is its own, and may be another's too
+	leave, err := s.query(e.g, q.Owner)
+	if err != nil {
+		return err
+	}
+	answer, err := s.Core.Ask(ctx, q)
+	leave()
+	if errors.Is(err, core.ErrGone) && time.Now().Before(end) {
+		return status.Error(codes.Canceled, "was cancelled")
+	}
+	if err := verdict(ctx, answer, err, end); err != nil {
+		return err
+	}
+	total := size(answer.Hits)
+	read, err := s.hold(e.g, total)
+	if err != nil {
+		return err
+	}
+	left := total
+	defer func() { read(left) }()
+	e.writing.Lock()
+	defer e.writing.Unlock()
+	sh := share{id: id, whole: answer.Whole, hits: answer.Hits, missing: missing(q.Parts, answer.Hits)}
+	err = write(e.writer(), e.class.Schema, sh, e.opts, func(n int64) { read(n); left -= n })
+	if errors.Is(err, errBatch) {
+		s.Log.Error("answer not fit for the class's schema", "class", e.class.Name, "cause", err)
+		return e.send(id, status.Error(codes.DataLoss, "a data node's answer can't be used"))
+	}
+	return nil // an error of the stream ends it, which all its queries see
+}
+
+// tell writes how a query ended that has no answer.
+func (e *exchange) tell(id string, err error) error {
+	e.writing.Lock()
+	defer e.writing.Unlock()
+	return e.send(id, err)
+}
+
+// writer opens the stream's writer. The caller holds the lock.
+func (e *exchange) writer() streamWriter {
+	if e.out == nil {
+		e.out = e.s.writer(e.stream, e.class.Schema, e.opts)
+	}
+	return e.out
+}
+
+// send is tell for one that holds the lock.
+func (e *exchange) send(id string, err error) error {
+	st := status.Convert(err)
+	m := told{ID: id, Status: st.Code().String(), Message: st.Message()}
+	for _, d := range st.Details() {
+		if r, ok := d.(*errdetails.RetryInfo); ok {
+			m.RetryMS = r.GetRetryDelay().AsDuration().Milliseconds()
+		}
+	}
+	raw, merr := json.Marshal(m)
+	if merr != nil {
+		return merr
+	}
+	return writeEmpty(e.writer(), e.class.Schema, raw)
+}
--- a/internal/flight/server.go
+++ b/internal/flight/server.go
@@ -1,187 +1,407 @@
-// Package flight speaks Arrow Flight: a server for clients (this file) and a client of Flight data nodes. It
-// maps tickets, deadlines and errors to the core's terms and back. It must never decide anything that the core
-// decides, hold back an answer, or keep more for a slow reader than that reader's own answer.
+// Package flight speaks Arrow Flight: a server for clients and a client of Flight data nodes. It maps calls, tickets,
+// deadlines and errors to the core's terms and back. It must never decide anything that the core decides, who comes in
+// (internal/admission) or what is kept for whom (internal/state), hold back an answer, or keep more for a slow reader
+// than that reader's own answer.
 //
-// A client's ticket is {"class":"...","owner":"...","shards":[{"shard":3,"weight":0.5}],"q":"..."}; its time
-// is the gRPC deadline. The answer is a stream of record batches (shard, doc), each with {"complete":...} as
-// its metadata.
+//	server.go   the server, its limits and its end      calls.go     the calls that give information, and DoGet
+//	auth.go     who asks                                exchange.go  DoExchange: many queries on one stream
+//	tickets.go  sealed tokens                           actions.go   DoAction
+//	codec.go    answers as record batches               nodes.go     data nodes
+//
+// A plain ticket is {"class":"...","owner":"...","shards":[{"shard":3,"weight":0.5}],"q":"..."}; its time is the gRPC
+// deadline.
 package flight
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
+	"math"
 	"net"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow"
-	"github.com/apache/arrow-go/v18/arrow/array"
 	"github.com/apache/arrow-go/v18/arrow/flight"
-	"github.com/apache/arrow-go/v18/arrow/ipc"
-	"github.com/apache/arrow-go/v18/arrow/memory"
 	"golang.org/x/net/netutil"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"gullfall/internal/admission"
 	"gullfall/internal/ask"
 	"gullfall/internal/core"
+	"gullfall/internal/state"
 )
 
-// Schema is that of answers, to clients and from data nodes.
-var Schema = arrow.NewSchema([]arrow.Field{
-	{Name: "shard", Type: arrow.PrimitiveTypes.Int32}, {Name: "doc", Type: arrow.BinaryTypes.Binary},
-}, nil)
-
 const (
-	// batchRows and batchBytes bound a record batch of an answer.
-	batchRows  = 1024
-	batchBytes = 256 << 10
 	// A connection must have greeted within greetTime, and is closed after restTime without a call, as on the
 	// platform's front.
 	greetTime = 2 * time.Second
 	restTime  = 30 * time.Second
+	// A client that pings more often than each pingTime is told to go (GOAWAY, too_many_pings).
+	pingTime = 5 * time.Second
+	// drainAgain is when who comes during a drain may come back: another coordinator may serve by then.
+	drainAgain = time.Second
 )
 
+// Class is one that is offered, as the settings have it.
+type Class struct {
+	Name   string
+	Schema *arrow.Schema // nil for Schema
+	Limit  time.Duration // longest time of a query
+}
+
+// Options is what a Server is told at its start. Only Core and Log are needed.
+type Options struct {
+	Core    *core.Core
+	Log     *slog.Logger
+	Memory  int64 // bytes that answers being read may hold in all; 0 for 16 MiB
+	Door    admission.Config
+	People  People
+	Keys    []Key
+	Classes []Class
+	Shards  int
+	Covered func() int // how many shards have a data node now; may be nil
+}
+
 // Server serves Flight clients.
 type Server struct {
 	flight.BaseFlightServer
-	core  *core.Core
-	log   *slog.Logger
-	grpc  *grpc.Server
-	held  atomic.Int64 // bytes of answers that are being read
-	limit int64        // of held
+	Options
+	grpc   *grpc.Server
+	people atomic.Pointer[People]
+	keys   keyring
+	conns  atomic.Uint64
+	drain  chan struct{} // closed once it drains
+	once   sync.Once
+
+	mu       sync.Mutex // guards what follows; never held over a call or a write
+	door     *admission.Door
+	cuts     map[*admission.Pass]context.CancelCauseFunc
+	flights  *state.Flights
+	kept     map[string]*kept
+	sessions *state.Sessions
+	presses  []*press
 }
 
-// NewServer returns a server in front of the core. Answers that are being read may hold limit bytes in all.
+// NewServer returns a server in front of the core with nothing but a bound on what answers that are being read hold.
 func NewServer(c *core.Core, log *slog.Logger, limit int64) *Server {
-	s := &Server{core: c, log: log, limit: limit, grpc: grpc.NewServer(grpc.MaxRecvMsgSize(ask.MaxBytes),
-		grpc.MaxConcurrentStreams(256), grpc.MaxHeaderListSize(16<<10), grpc.ConnectionTimeout(greetTime),
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: restTime}))}
-	flight.RegisterFlightServiceServer(s.grpc, s)
+	s, err := New(Options{Core: c, Log: log, Memory: limit})
+	if err != nil {
+		panic(err) // there is no figure that could be wrong
+	}
 	return s
 }
 
+// New returns a server, or says which option can't be worked with.
+func New(o Options) (*Server, error) {
+	if o.Memory <= 0 {
+		o.Memory = 16 << 20
+	}
+	o.Door.All.Bytes = o.Memory
+	door, err := admission.New(o.Door)
+	if err != nil {
+		return nil, fmt.Errorf("flight.limits: %w", err)
+	}
+	s := &Server{Options: o, door: door, drain: make(chan struct{}), cuts: map[*admission.Pass]context.CancelCauseFunc{},
+		flights: state.NewFlights(state.FlightConfig{Bytes: o.Memory / 2}), kept: map[string]*kept{},
+		sessions: state.NewSessions(state.SessionConfig{Options: sessionChoices})}
+	s.keys.set(o.Keys)
+	s.people.Store(&o.People)
+	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(ask.MaxBytes), grpc.MaxConcurrentStreams(256),
+		grpc.MaxHeaderListSize(16<<10), grpc.ConnectionTimeout(greetTime), grpc.StatsHandler(counter{&s.conns}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: restTime}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingTime, PermitWithoutStream: false}),
+		grpc.ChainUnaryInterceptor(s.unary), grpc.ChainStreamInterceptor(s.stream))
+	flight.RegisterFlightServiceServer(s.grpc, s)
+	return s, nil
+}
+
+// Reload takes in other people, keys and limits; who is in stays in.
+func (s *Server) Reload(people People, keys []Key, door admission.Config) error {
+	door.All.Bytes = s.Memory
+	s.mu.Lock()
+	err := s.door.Change(door)
+	s.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("flight.limits: %w", err)
+	}
+	s.people.Store(&people)
+	if len(keys) > 0 {
+		s.keys.set(keys)
+	}
+	return nil
+}
+
 // Serve accepts at most conns connections until Drain.
 func (s *Server) Serve(ln net.Listener, conns int) error {
+	done := make(chan struct{})
+	defer close(done)
+	go s.tick(done)
 	return s.grpc.Serve(netutil.LimitListener(ln, conns))
 }
 
-// Drain stops listening and returns once all that is open has its answer.
-func (s *Server) Drain() { s.grpc.GracefulStop() }
+// Drain stops listening, tells clients to go (GOAWAY) and refuses new streams with a time to come back. It returns
+// once all that is open has its answer.
+func (s *Server) Drain() {
+	s.once.Do(func() { close(s.drain) })
+	s.grpc.GracefulStop()
+}
+
+// draining tells whether the server drains.
+func (s *Server) draining() bool {
+	select {
+	case <-s.drain:
+		return true
+	default:
+		return false
+	}
+}
 
 // Stop ends the server at once.
 func (s *Server) Stop() { s.grpc.Stop() }
 
-// Ticket is what a client asks with; the parts are in the form that package ask reads.
-type Ticket struct {
-	ID    string // made up where it is missing
-	Class string
-	Owner string
-	Retry bool
+// tick lets time pass for the door, the flights and the sessions.
+func (s *Server) tick(done <-chan struct{}) {
+	ticker := time.NewTicker(250 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			for _, p := range s.door.Tick(now) {
+				s.cut(p, errStalled)
+			}
+			s.forget(s.flights.Tick(now))
+			s.sessions.Tick(now)
+			s.mu.Unlock()
+		}
+	}
+}
+
+var (
+	errStalled = errors.New("the answer was not read for too long")
+	errShort   = errors.New("the answer was read too slowly while memory is short; read it faster, or in more endpoints")
+)
+
+// cut ends the stream of a pass that the door has cut. The caller holds the lock.
+func (s *Server) cut(p *admission.Pass, why error) {
+	if end := s.cuts[p]; end != nil {
+		end(why)
+	}
 }
 
-// GetFlightInfo leads a client that has a ticket as its command to DoGet on this connection.
-func (s *Server) GetFlightInfo(_ context.Context, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
-	if d.GetType() != flight.DescriptorCMD || len(d.GetCmd()) == 0 {
-		return nil, status.Error(codes.InvalidArgument, "the descriptor needs a ticket as its command")
+// connKey is where a connection's number lies in its calls' contexts.
+type connKey struct{}
+
+// counter numbers connections: the door counts by them, since several clients may share an address.
+type counter struct{ next *atomic.Uint64 }
+
+func (c counter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
+	return context.WithValue(ctx, connKey{}, c.next.Add(1))
+}
+func (c counter) HandleConn(context.Context, stats.ConnStats)                     {}
+func (c counter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (c counter) HandleRPC(context.Context, stats.RPCStats)                       {}
+
+// guest is who asks, as a call's context has it.
+type guest struct {
+	who   admission.Who
+	named bool // the owner is known by credentials; else the ticket names it
+	pass  *admission.Pass
+}
+
+type guestKey struct{}
+
+func guestOf(ctx context.Context) *guest {
+	g, _ := ctx.Value(guestKey{}).(*guest)
+	return g
+}
+
+// network is the name that an address counts under: its /24 or /48.
+func network(a netip.Addr) string {
+	bits := 24
+	if a.Is6() {
+		bits = 48
+	}
+	p, err := a.Prefix(bits)
+	if err != nil {
+		return ""
 	}
-	return &flight.FlightInfo{Schema: flight.SerializeSchema(Schema, memory.DefaultAllocator), FlightDescriptor: d,
-		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: d.GetCmd()}}}, TotalRecords: -1,
-		TotalBytes: -1}, nil
+	return p.String()
 }
 
-// DoGet is one query.
-func (s *Server) DoGet(t *flight.Ticket, stream flight.FlightService_DoGetServer) error {
-	ctx := stream.Context()
-	var ticket Ticket
-	if err := json.Unmarshal(t.GetTicket(), &ticket); err != nil {
-		return status.Errorf(codes.InvalidArgument, "ticket: %v", err)
+// enter lets a call in, or says why not. What it returns is to be called at the call's end.
+func (s *Server) enter(ctx context.Context, method string) (context.Context, func(), error) {
+	if s.draining() {
+		return ctx, nil, unavailable("this coordinator drains; ask another, or come back", drainAgain)
 	}
-	end, limited := ctx.Deadline()
-	if !limited {
-		return status.Error(codes.InvalidArgument, "a deadline is needed")
+	g := &guest{}
+	g.who.Connection, _ = ctx.Value(connKey{}).(uint64)
+	addr := address(ctx)
+	g.who.Network = network(addr)
+	if method != "/arrow.flight.protocol.FlightService/Handshake" {
+		owner, named, err := s.caller(ctx)
+		if err != nil {
+			return ctx, nil, err
+		}
+		g.who.Owner, g.named = owner, named
 	}
-	if ticket.ID == "" {
-		ticket.ID = rand.Text()
+	s.mu.Lock()
+	pass, refusal := s.door.Enter(time.Now(), g.who, admission.Stream)
+	if refusal != nil {
+		s.mu.Unlock()
+		return ctx, nil, unavailable(refusal.Error(), refusal.After)
 	}
-	q := core.Query{ID: ticket.ID, Class: ticket.Class, Owner: ticket.Owner, Retry: ticket.Retry, Deadline: end}
-	var answer core.Answer
-	var err error
-	if q.Parts, q.Text, err = ask.Parts(t.GetTicket()); err == nil {
-		answer, err = s.core.Ask(ctx, q)
+	g.pass = pass
+	ctx, end := context.WithCancelCause(context.WithValue(ctx, guestKey{}, g))
+	s.cuts[pass] = end
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		delete(s.cuts, pass)
+		s.door.Leave(time.Now(), pass)
+		s.mu.Unlock()
+		end(nil)
+	}, nil
+}
+
+func (s *Server) unary(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (_ any, err error) {
+	ctx, leave, err := s.enter(ctx, info.FullMethod)
+	if err != nil {
+		return nil, err
 	}
-	switch {
-	case errors.Is(err, core.ErrInput) && ctx.Err() == nil:
-		return status.Error(codes.InvalidArgument, err.Error())
-	case err != nil:
-		return status.FromContextError(context.Cause(ctx)).Err()
-	case answer.Verdict == core.Refused:
-		return refused(answer.After)
-	case answer.Verdict != core.Answered && !time.Now().Before(end):
-		return status.Error(codes.DeadlineExceeded, "the query's time is over")
-	case answer.Verdict != core.Answered:
-		return status.Error(codes.Internal, "failed")
+	defer leave()
+	defer s.caught(&err)
+	return handler(ctx, req)
+}
+
+// guarded is a stream whose context knows the guest, and ends when the door cuts it.
+type guarded struct {
+	grpc.ServerStream
+	ctx context.Context
+}
+
+func (g *guarded) Context() context.Context { return g.ctx }
+
+func (s *Server) stream(srv any, stream grpc.ServerStream, info *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
+	ctx, leave, err := s.enter(stream.Context(), info.FullMethod)
+	if err != nil {
+		return err
 	}
-	size := int64(0)
-	for _, h := range answer.Hits {
-		for _, doc := range h.Docs {
-			size += int64(len(doc))
+	defer leave()
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		defer func() { done <- err }()
+		defer s.caught(&err)
+		err = handler(srv, &guarded{stream, ctx})
+	}()
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		// A handler that waits for its reader is ended by the end of its stream, which is when this returns; one
+		// that waits for anything else sees its context.
+		if why := context.Cause(ctx); why == errStalled || why == errShort {
+			s.Log.Warn("reader was cut", "method", info.FullMethod, "cause", why)
+			return unavailable(why.Error(), drainAgain)
 		}
+		err = <-done
 	}
-	defer s.held.Add(-size)
-	if s.held.Add(size) > s.limit {
-		s.log.Warn("answers that are being read hold all they may; refused", "bytes", size)
-		return refused(time.Until(end) / 2)
+	return err
+}
+
+// caught turns a panic of a handler into an error: it costs its call and nothing else.
+func (s *Server) caught(err *error) {
+	if cause := recover(); cause != nil {
+		s.Log.Error("a Flight call panicked", "cause", cause)
+		*err = status.Error(codes.Internal, "failed")
 	}
-	return s.answer(stream, answer)
 }
 
-func refused(after time.Duration) error {
-	st, err := status.New(codes.Unavailable, "refused").WithDetails(&errdetails.RetryInfo{
-		RetryDelay: durationpb.New(after)})
+// unavailable is a refusal with a time to come back.
+func unavailable(why string, after time.Duration) error {
+	st, err := status.New(codes.Unavailable, why).WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(after)})
 	if err != nil {
-		return status.Error(codes.Unavailable, "refused")
+		return status.Error(codes.Unavailable, why)
 	}
 	return st.Err()
 }
 
-// answer writes an answer batch by batch. A reader that is slow holds up its own stream, which gRPC ends at
-// the query's deadline.
-func (s *Server) answer(stream flight.FlightService_DoGetServer, answer core.Answer) error {
-	meta, _ := json.Marshal(map[string]bool{"complete": answer.Whole})
-	out := flight.NewRecordWriter(stream, ipc.WithSchema(Schema))
-	defer out.Close()
-	b := array.NewRecordBuilder(memory.DefaultAllocator, Schema)
-	defer b.Release()
-	rows, size := 0, 0
-	flush := func() error {
-		rec := b.NewRecordBatch()
-		defer rec.Release()
-		rows, size = 0, 0
-		if err := out.WriteWithAppMetadata(rec, meta); err != nil {
-			s.log.Info("answer not written whole", "cause", err)
-			return err
-		}
-		return nil
-	}
-	for _, h := range answer.Hits {
-		for _, doc := range h.Docs {
-			if rows > 0 && (rows >= batchRows || size+len(doc) > batchBytes) {
-				if err := flush(); err != nil {
-					return err
-				}
+// query lets a query in, beside its stream.
+func (s *Server) query(g *guest, owner string) (leave func(), err error) {
+	who := g.who
+	if who.Owner == "" {
+		who.Owner = owner
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pass, refusal := s.door.Enter(time.Now(), who, admission.Query)
+	if refusal != nil {
+		return nil, unavailable(refusal.Error(), refusal.After)
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.door.Leave(time.Now(), pass)
+	}, nil
+}
+
+// hold asks for room for an answer that is about to be read; read tells what has been.
+func (s *Server) hold(g *guest, bytes int64) (read func(int64), err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cut, refusal := s.door.Hold(time.Now(), g.pass, bytes)
+	for _, p := range cut {
+		s.cut(p, errShort)
+	}
+	if refusal != nil {
+		s.Log.Warn("answers that are being read hold all they may; refused", "bytes", bytes, "cause", refusal)
+		return nil, unavailable(refusal.Error(), refusal.After)
+	}
+	return func(n int64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.door.Read(time.Now(), g.pass, n)
+	}, nil
+}
+
+// class finds a class's schema; classes that were not named have Schema.
+func (s *Server) class(name string) Class {
+	for _, c := range s.Classes {
+		if c.Name == name {
+			if c.Schema == nil {
+				c.Schema = Schema
 			}
-			b.Field(0).(*array.Int32Builder).Append(int32(h.Shard))
-			b.Field(1).(*array.BinaryBuilder).Append(doc)
-			rows, size = rows+1, size+len(doc)
+			return c
 		}
 	}
-	return flush()
+	return Class{Name: name, Schema: Schema, Limit: time.Duration(math.MaxInt64)}
+}
+
+// verdict is an answer's status; nil where there is one.
+func verdict(ctx context.Context, answer core.Answer, err error, end time.Time) error {
+	switch {
+	case errors.Is(err, core.ErrInput) && ctx.Err() == nil:
+		return status.Error(codes.InvalidArgument, err.Error())
+	case err != nil:
+		return status.FromContextError(ctx.Err()).Err()
+	case answer.Verdict == core.Refused:
+		return unavailable("refused", answer.After)
+	case answer.Verdict != core.Answered && !time.Now().Before(end):
+		return status.Error(codes.DeadlineExceeded, "the query's time is over")
+	case answer.Verdict != core.Answered:
+		return status.Error(codes.Internal, "failed")
+	}
+	return nil
 }
--- a/internal/lab/nodes/ledger.go
+++ b/internal/lab/nodes/ledger.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// Out is how many attempts are out.
+func (l *Ledger) Out() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.out)
+}
+
 // Done forgets a query's parts once its answer is in; ids are not used twice.
 func (l *Ledger) Done(parts []string) {
 	l.mu.Lock()
