--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -41,6 +41,10 @@
 	// The core joins either front with either kind of data node.
 	{"platform to flight", standFlight, carryFlight, frontHTTP, slowHTTP, 15_000},
 	{"flight to platform", standFrames, carryFrames, frontFlight, slowFlight, 60_000},
+	// Calls as one stream, to data nodes and from clients.
+	{"flight calls", standCalls, carryFlight, frontFlight, slowFlight, 200_000},
+	{"exchange", standCalls, carryFlight, frontExchange, slowFlight, 200_000},
+	{"exchange to platform", standFrames, carryFrames, frontExchange, slowFlight, 60_000},
 }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -246,6 +250,167 @@
 	return send(s.b.doc(ticket.ID))
 }
 
+// callNode is a Flight data node that takes the parts of a call on one stream.
+type callNode struct{ standNode }
+
+func standCalls(ln net.Listener, b *book, name string) (stop func()) {
+	s := grpc.NewServer()
+	l := &conns{Listener: ln}
+	arrowflight.RegisterFlightServiceServer(s, &callNode{standNode{l: l, b: b, name: name}})
+	go s.Serve(l)
+	return s.Stop
+}
+
+func (s *callNode) DoExchange(stream arrowflight.FlightService_DoExchangeServer) error {
+	var mu sync.Mutex
+	out := map[string]int{}
+	settle := func(id string, givenUp bool) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		number, was := out[id]
+		if delete(out, id); was {
+			s.b.end(number, givenUp)
+		}
+		return was
+	}
+	defer func() {
+		mu.Lock()
+		ids := []string{}
+		for id := range out {
+			ids = append(ids, id)
+		}
+		mu.Unlock()
+		for _, id := range ids {
+			settle(id, true)
+		}
+	}()
+	var writing sync.Mutex
+	w := arrowflight.NewRecordWriter(stream, ipc.WithSchema(flight.Schema))
+	tell := func(shard int, doc string, m flight.PartTold) {
+		writing.Lock()
+		defer writing.Unlock()
+		b := array.NewRecordBuilder(memory.DefaultAllocator, flight.Schema)
+		defer b.Release()
+		if doc != "" {
+			b.Field(0).(*array.Int32Builder).Append(int32(shard))
+			b.Field(1).(*array.BinaryBuilder).Append([]byte(doc))
+		}
+		raw, _ := json.Marshal(m)
+		w.WriteWithAppMetadata(b.NewRecordBatch(), raw)
+	}
+	for {
+		m, err := stream.Recv()
+		if err == io.EOF {
+			writing.Lock()
+			defer writing.Unlock()
+			return w.Close()
+		} else if err != nil {
+			return err
+		}
+		var ask flight.PartsAsk
+		if err := json.Unmarshal(m.GetAppMetadata(), &ask); err != nil {
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		if ask.Cancel != "" {
+			settle(ask.Cancel, true)
+		}
+		for _, p := range ask.Parts {
+			number, act := s.b.start(s.name, p.ID)
+			mu.Lock()
+			out[p.ID] = number
+			mu.Unlock()
+			answer := func(m flight.PartTold, doc string) {
+				if settle(p.ID, false) {
+					m.ID = p.ID
+					tell(p.Shard, doc, m)
+				}
+			}
+			switch act {
+			case "ok":
+				answer(flight.PartTold{Last: true, Load: map[string]float64{"util": 0.5}}, s.b.doc(p.ID))
+			case "busy":
+				answer(flight.PartTold{Status: codes.ResourceExhausted.String()}, "")
+			case "err":
+				answer(flight.PartTold{Status: codes.Internal.String()}, "")
+			case "hold":
+				go func() {
+					<-s.b.release
+					answer(flight.PartTold{Last: true}, s.b.doc(p.ID))
+				}()
+			case "spoilt":
+				settle(p.ID, false)
+				tell(p.Shard+100, s.b.doc(p.ID), flight.PartTold{ID: p.ID, Last: true})
+			case "cut":
+				go func() {
+					tell(p.Shard, "half", flight.PartTold{ID: p.ID})
+					time.Sleep(cutAfter)
+					s.b.cut(s.name)
+					s.l.cut()
+				}()
+			}
+		}
+	}
+}
+
+// frontExchange is the Flight front and a client that asks by DoExchange, a stream for each query.
+func frontExchange(c *core.Core, ln net.Listener) (asker, func()) {
+	server := flight.NewServer(c, quiet, 16<<20)
+	go server.Serve(ln, 64)
+	cc := channel(ln.Addr().String())
+	client := arrowflight.NewClientFromConn(cc, nil)
+	ask := func(ctx context.Context, class, owner string, shards ...int) string {
+		end, _ := ctx.Deadline()
+		asking, cancel := context.WithCancel(context.WithoutCancel(ctx)) // its time is in the question
+		defer cancel()
+		defer context.AfterFunc(ctx, func() {
+			if ctx.Err() == context.Canceled {
+				cancel()
+			}
+		})()
+		stream, err := client.DoExchange(asking)
+		if err != nil {
+			return "lost"
+		}
+		question := append(fmt.Appendf(nil, `{"id":"q","deadline_ms":%d,`, max(1, time.Until(end).Milliseconds())), ticket(class, owner, shards...)[1:]...)
+		stream.Send(&arrowflight.FlightData{AppMetadata: question, FlightDescriptor: &arrowflight.FlightDescriptor{
+			Type: arrowflight.DescriptorPATH, Path: []string{class}}})
+		stream.CloseSend()
+		in, err := arrowflight.NewRecordReader(stream)
+		var docs []string
+		var meta struct {
+			Complete bool
+			Status   string
+			RetryMS  int64 `json:"retry_ms"`
+		}
+		for err == nil && in.Next() {
+			values := in.RecordBatch().Column(1).(*array.Binary)
+			for i := range values.Len() {
+				docs = append(docs, string(values.Value(i)))
+			}
+			json.Unmarshal(in.LatestAppMetadata(), &meta)
+		}
+		if err == nil {
+			err = in.Err()
+		}
+		switch {
+		case err != nil && status.Code(err) == codes.InvalidArgument || meta.Status == codes.InvalidArgument.String():
+			return "bad input"
+		case err != nil && status.Code(err) == codes.Unavailable:
+			return "lost"
+		case meta.Status == codes.Unavailable.String() && meta.RetryMS > 0:
+			return "refused"
+		case err != nil && status.Code(err) == codes.Canceled || meta.Status == codes.Canceled.String():
+			return "gone"
+		case meta.Status == codes.DeadlineExceeded.String():
+			return "overtime"
+		case err != nil || meta.Status != "":
+			return "failed"
+		}
+		return words(meta.Complete, docs)
+	}
+	return ask, func() { server.Drain(); cc.Close() }
+}
+
 // frontHTTP is the platform's front and its client.
 func frontHTTP(c *core.Core, ln net.Listener) (asker, func()) {
 	clients := &platform.Clients{Core: c, Log: quiet, Most: 64, Hold: 1 << 20}
--- a/internal/flight/abuse_test.go
+++ b/internal/flight/abuse_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/array"
 	arrowflight "github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/ipc"
@@ -234,6 +235,27 @@
 	return s, g
 }
 
+// recorder keeps what a writer sends.
+type recorder struct{ list []*arrowflight.FlightData }
+
+func (r *recorder) Send(m *arrowflight.FlightData) error {
+	r.list = append(r.list, &arrowflight.FlightData{DataHeader: bytes.Clone(m.DataHeader), DataBody: bytes.Clone(m.DataBody), AppMetadata: bytes.Clone(m.AppMetadata)})
+	return nil
+}
+
+// recorded are the messages of a stream of one batch: its schema, its dictionaries, and the batch.
+func recorded(schema *arrow.Schema, fill func(b *array.RecordBuilder), meta []byte) []*arrowflight.FlightData {
+	var r recorder
+	w := arrowflight.NewRecordWriter(&r, ipc.WithSchema(schema))
+	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+	defer b.Release()
+	fill(b)
+	rec := b.NewRecordBatch()
+	defer rec.Release()
+	w.WriteWithAppMetadata(rec, meta)
+	return r.list
+}
+
 // TestFaultyCalls: whatever goes wrong on a call's stream, and at whichever of its messages, each query has its whole
 // answer from other data nodes, and what came before a fault is not mixed with what comes after.
 func TestFaultyCalls(t *testing.T) {
@@ -272,6 +294,29 @@
 			row(w, p[0].Shard, "half", flight.PartTold{ID: p[0].ID})
 			return stream.Send(&arrowflight.FlightData{DataHeader: bytes.Repeat([]byte{0xff}, 64), DataBody: []byte("x")})
 		},
+		"a dictionary is missing": func(p []flight.PartAsk, _ *arrowflight.Writer, stream arrowflight.FlightService_DoExchangeServer) error {
+			schema, err := flight.NewSchema([]flight.Field{{Name: "club", Type: "dictionary"}})
+			if err != nil {
+				return err
+			}
+			meta, _ := json.Marshal(flight.PartTold{ID: p[0].ID, Last: true})
+			list := recorded(schema, func(b *array.RecordBuilder) { b.Field(0).(*array.BinaryDictionaryBuilder).AppendString("Olinda") }, meta)
+			stream.Send(list[0])
+			stream.Send(list[len(list)-1])
+			return fmt.Errorf("broken")
+		},
+		"a schema that changes half-way": func(p []flight.PartAsk, w *arrowflight.Writer, stream arrowflight.FlightService_DoExchangeServer) error {
+			row(w, p[0].Shard, "half", flight.PartTold{ID: p[0].ID})
+			schema, err := flight.NewSchema([]flight.Field{{Name: "x", Type: "int32"}})
+			if err != nil {
+				return err
+			}
+			meta, _ := json.Marshal(flight.PartTold{ID: p[0].ID, Last: true})
+			for _, m := range recorded(schema, func(b *array.RecordBuilder) { b.Field(0).(*array.Int32Builder).Append(1) }, meta) {
+				stream.Send(m)
+			}
+			return fmt.Errorf("broken")
+		},
 		"turned away": func(p []flight.PartAsk, w *arrowflight.Writer, _ arrowflight.FlightService_DoExchangeServer) error {
 			for _, p := range p {
 				row(w, p.Shard, "x", flight.PartTold{ID: p.ID, Status: "ResourceExhausted"})
--- a/internal/lab/flightsuite/cases.go
+++ b/internal/lab/flightsuite/cases.go
@@ -17,7 +17,9 @@
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	gen "github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
 	"github.com/apache/arrow-go/v18/arrow/memory"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -557,7 +559,7 @@
 			}
 		}
 		e.Leave()
-		g, err := c.Get(ctx, c.Question("", 0, 1))
+		g, err := c.again(ctx, c.Question("", 0, 1)) // which may be refused at first, for there was much to do
 		if err := c.whole(g, err, 0, 1); err != nil {
 			return err
 		}
@@ -595,6 +597,23 @@
 	return &d
 }
 
+// again is Get that comes back when it is told to, for 5 s.
+func (c *Client) again(ctx context.Context, ticket []byte) (g Got, err error) {
+	for end := time.Now().Add(5 * time.Second); ; {
+		g, err = c.Get(ctx, ticket)
+		after := time.Duration(0)
+		for _, d := range status.Convert(err).Details() {
+			if r, ok := d.(*errdetails.RetryInfo); ok {
+				after = r.GetRetryDelay().AsDuration()
+			}
+		}
+		if after == 0 || time.Now().Add(after).After(end) {
+			return g, err
+		}
+		time.Sleep(after)
+	}
+}
+
 func (c *Client) poll(ctx context.Context, d *flight.FlightDescriptor) (*flight.PollInfo, error) {
 	ctx, cancel := c.Context(ctx)
 	defer cancel()
