kv: a log with group commit and recovery that shows whole batches only

Need: what the coordinator keeps rests on one bbolt file and a sync for each write, and nothing tested a cut, a full disk or a failed sync. Nothing rests on it yet.

The daemon does not link it.

--- /dev/null
+++ b/internal/kv/fs.go
@@ -0,0 +1,107 @@
+package kv
+
+// This file owns the way to files: the interface that tests put a faulty disk behind, and the one of the operating
+// system. It must never hide an error.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+)
+
+// FS is a folder.
+type FS interface {
+	List() ([]string, error) // names, sorted
+	Read(name string) ([]byte, error)
+	Create(name string) (File, error) // it must not be there
+	Append(name string) (File, error) // to be written on at its end
+	Remove(name string) error
+	Rename(from, to string) error
+	SyncDir() error                      // what was created, renamed or removed lasts from then on
+	Lock(name string) (io.Closer, error) // fails while another process holds it
+}
+
+// File is one that is written at its end.
+type File interface {
+	io.Writer
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// ErrLocked tells that another process has the store open.
+var ErrLocked = errors.New("another process has the store open")
+
+// Dir is a folder of the operating system's.
+type Dir string
+
+// List is FS's.
+func (d Dir) List() (names []string, err error) {
+	entries, err := os.ReadDir(string(d))
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, err
+}
+
+func (d Dir) path(name string) string { return filepath.Join(string(d), name) }
+
+// Read is FS's.
+func (d Dir) Read(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
+
+// Create is FS's.
+func (d Dir) Create(name string) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Append is FS's.
+func (d Dir) Append(name string) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Remove is FS's.
+func (d Dir) Remove(name string) error { return os.Remove(d.path(name)) }
+
+// Rename is FS's.
+func (d Dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+
+// SyncDir is FS's.
+func (d Dir) SyncDir() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// Lock is FS's.
+func (d Dir) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(d.path(name), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("%s: %w", d.path(name), ErrLocked)
+	}
+	return f, nil
+}
+
+// isFull tells whether an error says that the disk is full.
+func isFull(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
--- /dev/null
+++ b/internal/kv/recover.go
@@ -0,0 +1,168 @@
+package kv
+
+// This file owns what recovery decides: from the bytes of the segments alone, which batches are committed, where a torn
+// tail is to be cut off, and what is damage. It does no I/O. It must never pass over a record that may have been
+// acknowledged without calling that damage, nor return a batch that is not whole.
+//
+//	what is found at an offset              in the last segment                   in an earlier one
+//	a whole record of the next number       committed                             committed
+//	no whole record, none of a later number
+//	anywhere behind it                      torn: cut off there                   damage
+//	no whole record, but a later one behind damage                                damage
+//	a whole record of another number        damage                                damage
+//	a head that is cut off or is none       torn, if nothing whole is behind it:  damage
+//	                                        the segment had not begun
+//	a head of another version               refused, and nothing is changed       the same
+//
+// All that is written between two syncs is one record, so a torn write has no whole record behind its start. A segment
+// is begun only once the one before it was synced to its end. That is why only the last may be torn.
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Segment is one file of the log, as it was read.
+type Segment struct {
+	Name  string
+	Bytes []byte
+}
+
+// Damage is what can't have come from a cut: the file and the offset at which it begins.
+type Damage struct {
+	File   string
+	Offset int64
+	Cause  string
+}
+
+func (d *Damage) Error() string {
+	return fmt.Sprintf("%s: damage at offset %d: %s; `gullfall store repair` saves what is whole", d.File, d.Offset, d.Cause)
+}
+
+// Cut is a torn tail: what is to be cut off from an offset on. Whole tells that the file had not begun and goes.
+type Cut struct {
+	File   string
+	Offset int64
+	Bytes  int64
+	Whole  bool
+}
+
+// Entry is a committed batch.
+type Entry struct {
+	Seq   uint64
+	Batch Batch
+}
+
+// Plan is what recovery comes to.
+type Plan struct {
+	Entries []Entry
+	Cut     *Cut   // nil where nothing is torn
+	Next    uint64 // the sequence number that comes next
+	Last    string // the segment to write on; empty where a new one is needed
+	End     int64  // its length once Cut was carried out
+}
+
+// Recover reads the segments of a log, in order. A *Damage is returned with the plan of what is whole before it.
+func Recover(segments []Segment) (p Plan, err error) {
+	p.Next = 1
+	for i, s := range segments {
+		last := i == len(segments)-1
+		first, err := readSegmentHead(s.Bytes)
+		switch {
+		case errors.Is(err, errHeadVersion):
+			return p, fmt.Errorf("%s: %w", s.Name, err)
+		case err != nil && last && !later(s.Bytes, p.Next):
+			p.Cut = &Cut{File: s.Name, Bytes: int64(len(s.Bytes)), Whole: true}
+			return p, nil
+		case err != nil:
+			return p, &Damage{s.Name, 0, err.Error()}
+		case i == 0:
+			p.Next = first // what came before was compacted away
+		case first != p.Next:
+			return p, &Damage{s.Name, 8, fmt.Sprintf("begins with number %d where %d comes next: a segment is missing", first, p.Next)}
+		}
+		if err := p.segment(s, last); err != nil {
+			return p, err
+		}
+	}
+	return p, nil
+}
+
+// segment reads the records of one segment.
+func (p *Plan) segment(s Segment, last bool) error {
+	at := segmentHead
+	for at < len(s.Bytes) {
+		r, size, ok := readRecord(s.Bytes[at:])
+		if !ok {
+			if last && !later(s.Bytes[at:], p.Next) {
+				p.Cut = &Cut{File: s.Name, Offset: int64(at), Bytes: int64(len(s.Bytes) - at)}
+				break
+			}
+			return &Damage{s.Name, int64(at), fmt.Sprintf("no whole record, number %d was to come", p.Next)}
+		}
+		if r.seq != p.Next || r.kind != kindGroup {
+			return &Damage{s.Name, int64(at), fmt.Sprintf("record of kind %d and number %d where number %d was to come", r.kind, r.seq, p.Next)}
+		}
+		group, err := decodeGroup(r.payload)
+		if err != nil {
+			return &Damage{s.Name, int64(at), err.Error()}
+		}
+		for _, b := range group {
+			p.Entries = append(p.Entries, Entry{p.Next, b})
+			p.Next++
+		}
+		at += size
+	}
+	p.Last, p.End = s.Name, int64(at)
+	return nil
+}
+
+// later tells whether bytes hold, at any offset, a whole record whose number is at least next and not far beyond it: one
+// that was written after a place where no record can be read.
+func later(raw []byte, next uint64) bool {
+	for at := 0; at+recordHead <= len(raw); at++ {
+		if raw[at+8] != kindGroup {
+			continue
+		}
+		if r, _, ok := readRecord(raw[at:]); ok && r.seq >= next && r.seq-next < 1<<32 && len(r.payload) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Salvage is what a repair saves from damaged segments: all whole batches, by number, the first of each; and the ranges of
+// numbers that are lost.
+func Salvage(segments []Segment) (saved []Entry, lost [][2]uint64) {
+	for _, s := range segments {
+		for at := 0; at+recordHead <= len(s.Bytes); {
+			r, size, ok := readRecord(s.Bytes[at:])
+			group, err := decodeGroup(r.payload)
+			if !ok || r.kind != kindGroup || err != nil {
+				at++
+				continue
+			}
+			for i, b := range group {
+				saved = append(saved, Entry{r.seq + uint64(i), b})
+			}
+			at += size
+		}
+	}
+	slices.SortStableFunc(saved, func(a, b Entry) int {
+		switch {
+		case a.Seq < b.Seq:
+			return -1
+		case a.Seq > b.Seq:
+			return 1
+		}
+		return 0
+	})
+	saved = slices.CompactFunc(saved, func(a, b Entry) bool { return a.Seq == b.Seq })
+	for i := 1; i < len(saved); i++ {
+		if saved[i].Seq > saved[i-1].Seq+1 {
+			lost = append(lost, [2]uint64{saved[i-1].Seq + 1, saved[i].Seq - 1})
+		}
+	}
+	return saved, lost
+}
