--- a/internal/kv/format.go
+++ b/internal/kv/format.go
@@ -1,5 +1,5 @@
-// Package kv is an embedded store that survives any cut. What stands so far is its log: segments of records under
-// checksums, group commit, and recovery that shows whole, committed batches and nothing else. format.go and recover.go
+// Package kv is an embedded store that survives any cut: a log of records under
+// checksums with group commit, a memory table, sorted tables that are merged as they age. format.go, recover.go and merge.go
 // decide without I/O what bytes mean and what is to be done about them; fs.go and log.go do it.
 //
 // docs/formats/kv.md describes every byte.
--- a/internal/kv/fs.go
+++ b/internal/kv/fs.go
@@ -17,6 +17,7 @@
 type FS interface {
 	List() ([]string, error) // names, sorted
 	Read(name string) ([]byte, error)
+	Open(name string) (Reader, error)
 	Create(name string) (File, error) // it must not be there
 	Append(name string) (File, error) // to be written on at its end
 	Remove(name string) error
@@ -33,6 +34,13 @@
 	Close() error
 }
 
+// Reader is a file that is read anywhere.
+type Reader interface {
+	io.ReaderAt
+	Size() int64
+	Close() error
+}
+
 // ErrLocked tells that another process has the store open.
 var ErrLocked = errors.New("another process has the store open")
 
@@ -56,6 +64,28 @@
 // Read is FS's.
 func (d Dir) Read(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
 
+// sized is an open file of the operating system's.
+type sized struct {
+	*os.File
+	size int64
+}
+
+func (s sized) Size() int64 { return s.size }
+
+// Open is FS's.
+func (d Dir) Open(name string) (Reader, error) {
+	f, err := os.Open(d.path(name))
+	if err != nil {
+		return nil, err
+	}
+	info, err := f.Stat()
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return sized{f, info.Size()}, nil
+}
+
 // Create is FS's.
 func (d Dir) Create(name string) (File, error) {
 	f, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
--- a/internal/kv/log.go
+++ b/internal/kv/log.go
@@ -15,6 +15,7 @@
 type Options struct {
 	SegmentBytes int64 // after which a new segment is begun; 4 MiB
 	Report       func(Cut)
+	Apply        func(first uint64, list []Batch) // is told what was synced, in order, before it is acknowledged; may be nil
 }
 
 // The errors of a Log.
@@ -184,7 +185,17 @@
 	first := l.next
 	if err == nil {
 		l.mu.Unlock()
-		err = l.write(first, list)
+		if err = l.write(first, list); err == nil && l.opts.Apply != nil {
+			var batches []Batch
+			for _, c := range list { // of the payload: the caller may go on using its own
+				b, derr := decodeBatch(c.payload)
+				if derr != nil {
+					panic(derr) // encode has made it
+				}
+				batches = append(batches, b)
+			}
+			l.opts.Apply(first, batches)
+		}
 		l.mu.Lock()
 		if err != nil && !errors.Is(err, ErrFull) {
 			l.failed = fmt.Errorf("%w: %w", ErrReadOnly, err)
@@ -269,6 +280,32 @@
 	return nil
 }
 
+// Trim removes the segments all of whose batches have numbers up to one that are kept elsewhere. The last one stays.
+func (l *Log) Trim(upTo uint64) error {
+	names, err := l.fs.List()
+	if err != nil {
+		return err
+	}
+	var list []string
+	var firsts []uint64
+	for _, name := range names {
+		var first uint64
+		if n, _ := fmt.Sscanf(name, segmentPattern, &first); n == 1 && strings.HasSuffix(name, ".log") {
+			list, firsts = append(list, name), append(firsts, first)
+		}
+	}
+	for i := 0; i+1 < len(list) && firsts[i+1] <= upTo+1; i++ {
+		if err := l.fs.Remove(list[i]); err != nil {
+			return fmt.Errorf("%s: %w", list[i], err)
+		}
+		// One that stays though a later one is gone would be a gap: each removal lasts before the next.
+		if err := l.fs.SyncDir(); err != nil {
+			return fmt.Errorf("folder: %w", err)
+		}
+	}
+	return nil
+}
+
 // Next is the sequence number that the next batch gets.
 func (l *Log) Next() uint64 {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/kv/manifest.go
@@ -0,0 +1,54 @@
+package kv
+
+// This file owns the manifest: which runs there are, in order, and up to which number they hold everything. It is decided
+// here what its bytes mean; db.go writes it beside the old one, syncs it, and puts it in its place by rename. It must never
+// be half of one and half of another.
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+)
+
+const (
+	manifestName  = "MANIFEST"
+	manifestNew   = "MANIFEST.new"
+	manifestMagic = "GFKM"
+	tablePattern  = "%08d.table"
+)
+
+// manifest is what is known of the runs.
+type manifest struct {
+	flushed uint64   // all batches up to this number are in the runs
+	next    uint64   // the number of the next table's file
+	runs    []uint64 // numbers of the tables' files, newest first
+}
+
+var errManifest = errors.New("manifest is damaged")
+
+func (m manifest) encode() []byte {
+	out := append([]byte(manifestMagic), formatVersion, 0, 0, 0)
+	out = binary.LittleEndian.AppendUint64(out, m.flushed)
+	out = binary.LittleEndian.AppendUint64(out, m.next)
+	out = binary.LittleEndian.AppendUint32(out, uint32(len(m.runs)))
+	for _, r := range m.runs {
+		out = binary.LittleEndian.AppendUint64(out, r)
+	}
+	return binary.LittleEndian.AppendUint32(out, crc32.Checksum(out, castagnoli))
+}
+
+func readManifest(raw []byte) (m manifest, err error) {
+	const head = 28
+	if len(raw) < head+4 || string(raw[:4]) != manifestMagic || raw[4] != formatVersion {
+		return m, errManifest
+	}
+	n := int(binary.LittleEndian.Uint32(raw[24:]))
+	if n > 1<<20 || len(raw) != head+8*n+4 || crc32.Checksum(raw[:len(raw)-4], castagnoli) != binary.LittleEndian.Uint32(raw[len(raw)-4:]) {
+		return m, errManifest
+	}
+	m.flushed, m.next = binary.LittleEndian.Uint64(raw[8:]), binary.LittleEndian.Uint64(raw[16:])
+	for i := range n {
+		m.runs = append(m.runs, binary.LittleEndian.Uint64(raw[head+8*i:]))
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/kv/table.go
@@ -0,0 +1,355 @@
+package kv
+
+// This file owns sorted tables: blocks of entries, their index, a bloom filter, and the ranges that were deleted. A
+// table is written once, from its first key to its last, and never changed. It must never return an entry whose block does
+// not match its checksum. It does no I/O but by the ReaderAt that it is given.
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	tableMagic  = "GFKT"
+	tableFoot   = 36 // offsets of index, filter, ranges: 8 each; highest number 8 ... and checksum 4
+	blockBytes  = 4 << 10
+	bitsPerKey  = 10
+	filterProbe = 7
+)
+
+// entry is one version of a key: its value, or that it was deleted.
+type entry struct {
+	key     []byte
+	seq     uint64
+	deleted bool
+	value   []byte
+}
+
+// order is by key, and of a key the newest first.
+func order(a, b entry) int {
+	if c := bytes.Compare(a.key, b.key); c != 0 {
+		return c
+	}
+	switch {
+	case a.seq > b.seq:
+		return -1
+	case a.seq < b.seq:
+		return 1
+	}
+	return 0
+}
+
+// span is a range of keys, from on and before to, of which all versions up to a number are deleted.
+type span struct {
+	from, to []byte
+	seq      uint64
+}
+
+func (s span) holds(key []byte) bool {
+	return bytes.Compare(s.from, key) <= 0 && bytes.Compare(key, s.to) < 0
+}
+
+// tableWriter writes a table to a file as its entries come.
+type tableWriter struct {
+	out    io.Writer
+	at     int64
+	block  []byte
+	last   []byte
+	index  []byte
+	hashes []uint64
+	spans  []span
+	count  uint64
+	err    error
+}
+
+func (w *tableWriter) write(raw []byte) {
+	if w.err == nil {
+		var n int
+		n, w.err = w.out.Write(raw)
+		w.at += int64(n)
+	}
+}
+
+// section writes bytes and their checksum, and returns where they begin.
+func (w *tableWriter) section(raw []byte) (at int64) {
+	at = w.at
+	w.write(binary.LittleEndian.AppendUint32(raw, crc32.Checksum(raw, castagnoli)))
+	return at
+}
+
+// add appends an entry; entries come in order.
+func (w *tableWriter) add(e entry) {
+	if !bytes.Equal(e.key, w.last) || len(w.hashes) == 0 {
+		w.hashes = append(w.hashes, xxhash.Sum64(e.key))
+	}
+	kind := byte(opPut)
+	if e.deleted {
+		kind = opDelete
+	}
+	w.block = append(w.block, kind)
+	w.block = binary.AppendUvarint(w.block, e.seq)
+	w.block = binary.AppendUvarint(w.block, uint64(len(e.key)))
+	w.block = append(w.block, e.key...)
+	w.block = binary.AppendUvarint(w.block, uint64(len(e.value)))
+	w.block = append(w.block, e.value...)
+	w.last = append(w.last[:0], e.key...)
+	if w.count++; len(w.block) >= blockBytes {
+		w.flush()
+	}
+}
+
+// flush ends a block; the index has its last key, its offset and its length.
+func (w *tableWriter) flush() {
+	if len(w.block) == 0 {
+		return
+	}
+	n := len(w.block)
+	at := w.section(w.block)
+	w.index = binary.AppendUvarint(w.index, uint64(len(w.last)))
+	w.index = append(w.index, w.last...)
+	w.index = binary.AppendUvarint(w.index, uint64(at))
+	w.index = binary.AppendUvarint(w.index, uint64(n))
+	w.block = w.block[:0]
+}
+
+// finish writes the index, the filter, the ranges and the foot. The caller syncs the file.
+func (w *tableWriter) finish(upTo uint64) error {
+	w.flush()
+	index := w.section(w.index)
+	filter := w.section(newFilter(w.hashes))
+	var raw []byte
+	for _, s := range w.spans {
+		raw = binary.AppendUvarint(raw, s.seq)
+		for _, k := range [][]byte{s.from, s.to} {
+			raw = binary.AppendUvarint(raw, uint64(len(k)))
+			raw = append(raw, k...)
+		}
+	}
+	spans := w.section(raw)
+	foot := binary.LittleEndian.AppendUint64(nil, uint64(index))
+	foot = binary.LittleEndian.AppendUint64(foot, uint64(filter))
+	foot = binary.LittleEndian.AppendUint64(foot, uint64(spans))
+	foot = binary.LittleEndian.AppendUint64(foot, upTo)
+	foot = append(foot, tableMagic...)
+	w.section(foot)
+	return w.err
+}
+
+// newFilter is a bloom filter of keys' hashes, by double hashing (Kirsch and Mitzenmacher).
+func newFilter(hashes []uint64) []byte {
+	bits := uint64(max(64, len(hashes)*bitsPerKey))
+	raw := make([]byte, (bits+7)/8)
+	bits = uint64(len(raw)) * 8
+	for _, h := range hashes {
+		for i, d := uint64(0), h>>33|1; i < filterProbe; i++ {
+			b := (h + i*d) % bits
+			raw[b/8] |= 1 << (b % 8)
+		}
+	}
+	return raw
+}
+
+// mayHold tells whether a key may be among those of a filter.
+func mayHold(filter []byte, key []byte) bool {
+	h, bits := xxhash.Sum64(key), uint64(len(filter))*8
+	for i, d := uint64(0), h>>33|1; i < filterProbe; i++ {
+		b := (h + i*d) % bits
+		if filter[b/8]&(1<<(b%8)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// blockAt is one line of an index.
+type blockAt struct {
+	last   []byte
+	offset int64
+	length int
+}
+
+// table is one that is open for reading. It may be used by several goroutines.
+type table struct {
+	name   string
+	in     io.ReaderAt
+	size   int64
+	index  []blockAt
+	filter []byte
+	spans  []span
+	upTo   uint64 // highest number in it
+}
+
+// errTable marks a table that can't be read; it comes with the file and the offset.
+var errTable = errors.New("table is damaged")
+
+func (t *table) damage(at int64, cause string) error {
+	return &Damage{t.name, at, errTable.Error() + ": " + cause}
+}
+
+// read returns n bytes at an offset that match the checksum behind them.
+func (t *table) read(at int64, n int) ([]byte, error) {
+	if at < 0 || n < 0 || at+int64(n)+4 > t.size {
+		return nil, t.damage(at, "points beyond its end")
+	}
+	raw := make([]byte, n+4)
+	if _, err := t.in.ReadAt(raw, at); err != nil && err != io.EOF {
+		return nil, fmt.Errorf("%s: %w", t.name, err)
+	}
+	if crc32.Checksum(raw[:n], castagnoli) != binary.LittleEndian.Uint32(raw[n:]) {
+		return nil, t.damage(at, "checksum")
+	}
+	return raw[:n:n], nil
+}
+
+// openTable reads a table's foot, index, filter and ranges.
+func openTable(name string, in io.ReaderAt, size int64) (*table, error) {
+	t := &table{name: name, in: in, size: size}
+	foot, err := t.read(size-tableFoot-4, tableFoot)
+	if err != nil {
+		return nil, err
+	}
+	if string(foot[32:]) != tableMagic {
+		return nil, t.damage(size-tableFoot-4, "no foot")
+	}
+	at := [3]int64{}
+	for i := range at {
+		at[i] = int64(binary.LittleEndian.Uint64(foot[8*i:]))
+	}
+	t.upTo = binary.LittleEndian.Uint64(foot[24:])
+	end := size - tableFoot - 4
+	raw, err := t.read(at[0], int(at[1]-at[0]-4))
+	if err != nil {
+		return nil, err
+	}
+	for len(raw) > 0 {
+		var b blockAt
+		var ok bool
+		if b.last, raw, ok = cutBytes(raw, MaxKey); !ok {
+			return nil, t.damage(at[0], "index")
+		}
+		offset, a := binary.Uvarint(raw)
+		if a <= 0 {
+			return nil, t.damage(at[0], "index")
+		}
+		length, l := binary.Uvarint(raw[a:])
+		if l <= 0 || offset > uint64(at[0]) || length > uint64(at[0])-offset {
+			return nil, t.damage(at[0], "index")
+		}
+		b.offset, b.length, raw = int64(offset), int(length), raw[a+l:]
+		t.index = append(t.index, b)
+	}
+	if t.filter, err = t.read(at[1], int(at[2]-at[1]-4)); err != nil {
+		return nil, err
+	}
+	if len(t.filter) == 0 {
+		return nil, t.damage(at[1], "filter")
+	}
+	if raw, err = t.read(at[2], int(end-at[2]-4)); err != nil {
+		return nil, err
+	}
+	for len(raw) > 0 {
+		seq, n := binary.Uvarint(raw)
+		if n <= 0 {
+			return nil, t.damage(at[2], "ranges")
+		}
+		s, ok := span{seq: seq}, false
+		if s.from, raw, ok = cutBytes(raw[n:], MaxKey); ok {
+			s.to, raw, ok = cutBytes(raw, MaxKey)
+		}
+		if !ok {
+			return nil, t.damage(at[2], "ranges")
+		}
+		t.spans = append(t.spans, s)
+	}
+	return t, nil
+}
+
+// cutBytes takes a length and so many bytes off the front.
+func cutBytes(raw []byte, most int) (field, rest []byte, ok bool) {
+	n, used := binary.Uvarint(raw)
+	if used <= 0 || n > uint64(most) || n > uint64(len(raw)-used) {
+		return nil, nil, false
+	}
+	return raw[used : used+int(n) : used+int(n)], raw[used+int(n):], true
+}
+
+// block reads the entries of a block.
+func (t *table) block(i int) (list []entry, err error) {
+	b := t.index[i]
+	raw, err := t.read(b.offset, b.length)
+	if err != nil {
+		return nil, err
+	}
+	for len(raw) > 0 {
+		e := entry{deleted: raw[0] == opDelete}
+		seq, n := binary.Uvarint(raw[1:])
+		ok := n > 0 && (raw[0] == opPut || raw[0] == opDelete)
+		if ok {
+			e.seq = seq
+			if e.key, raw, ok = cutBytes(raw[1+n:], MaxKey); ok {
+				e.value, raw, ok = cutBytes(raw, MaxValue)
+			}
+		}
+		if !ok {
+			return nil, t.damage(b.offset, "entry")
+		}
+		list = append(list, e)
+	}
+	return list, nil
+}
+
+// get is the newest version of a key up to a number; found is false where there is none.
+func (t *table) get(key []byte, upTo uint64) (e entry, found bool, err error) {
+	if !mayHold(t.filter, key) {
+		return e, false, nil
+	}
+	i := sort.Search(len(t.index), func(i int) bool { return bytes.Compare(t.index[i].last, key) >= 0 })
+	for ; i < len(t.index); i++ { // versions of a key may go on in the next block
+		list, err := t.block(i)
+		if err != nil {
+			return e, false, err
+		}
+		for _, e := range list {
+			if c := bytes.Compare(e.key, key); c == 0 && e.seq <= upTo {
+				return e, true, nil
+			} else if c > 0 {
+				return entry{}, false, nil
+			}
+		}
+	}
+	return e, false, nil
+}
+
+// iterate returns a pull over the entries from a key on, in order.
+func (t *table) iterate(from []byte) func() (entry, bool, error) {
+	i := sort.Search(len(t.index), func(i int) bool { return bytes.Compare(t.index[i].last, from) >= 0 })
+	var list []entry
+	first := true
+	return func() (entry, bool, error) {
+		for len(list) == 0 {
+			if i >= len(t.index) {
+				return entry{}, false, nil
+			}
+			var err error
+			if list, err = t.block(i); err != nil {
+				return entry{}, false, err
+			}
+			if i++; first {
+				first = false
+				at, _ := slices.BinarySearchFunc(list, from, func(e entry, k []byte) int { return bytes.Compare(e.key, k) })
+				list = list[at:]
+			}
+		}
+		e := list[0]
+		list = list[1:]
+		return e, true, nil
+	}
+}
--- a/internal/lab/disk/disk.go
+++ b/internal/lab/disk/disk.go
@@ -198,6 +198,46 @@
 	return slices.Clone(n.data), nil
 }
 
+// reader reads a file as it is at the time.
+type reader struct {
+	d    *Disk
+	name string
+	n    *inode
+	size int64
+}
+
+func (r *reader) Size() int64  { return r.size }
+func (r *reader) Close() error { return nil }
+func (r *reader) ReadAt(p []byte, at int64) (int, error) {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	if err := r.d.op("read %s at %d", r.name, at); err != nil {
+		return 0, err
+	}
+	if at >= int64(len(r.n.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, r.n.data[at:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Open is kv.FS's.
+func (d *Disk) Open(name string) (kv.Reader, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.op("open %s", name); err != nil {
+		return nil, err
+	}
+	n := d.names[name]
+	if n == nil {
+		return nil, fs.ErrNotExist
+	}
+	return &reader{d, name, n, int64(len(n.data))}, nil
+}
+
 // Create is kv.FS's.
 func (d *Disk) Create(name string) (kv.File, error) {
 	d.mu.Lock()
