Flight: reserve room before a query is asked; back off from dead data nodes

Need: two hundred readers that read nothing took a coordinator of 32 MB to 42 MB, since room was asked for only once an answer had come; and a data node that refuses connections was dialled for each part.

admission.Sizes learns what a part of a class needs; the door reserves it before the query, and cuts nobody for not reading what is not there.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -170,6 +170,44 @@
 	}
 }
 
+// TestReserve: room for an answer that has not come is kept, and nobody is cut for not reading it.
+func TestReserve(t *testing.T) {
+	d := door(t, Config{All: Limits{Bytes: 100}, Stall: 5 * time.Second})
+	a, _ := d.Enter(at(0), Who{Connection: 1}, Stream)
+	b, _ := d.Enter(at(0), Who{Connection: 2}, Stream)
+	if _, r := d.Reserve(at(0), a, 80); r != nil {
+		t.Fatal(r)
+	}
+	if cut, r := d.Hold(at(9), b, 30); r == nil || len(cut) > 0 {
+		t.Errorf("one that waits for its answer was cut: %v, %v", cut, r)
+	}
+	if cut := d.Tick(at(9)); len(cut) > 0 || !d.Next().IsZero() {
+		t.Error("one that waits for its answer stalls")
+	}
+	d.Hold(at(10), a, 1) // it has come
+	if cut, r := d.Hold(at(12), b, 30); r != nil || len(cut) != 1 {
+		t.Errorf("one that does not read stays: %v, %v", cut, r)
+	}
+	var s Sizes
+	if got := s.Expect("x", 2); got != 2*Unknown {
+		t.Errorf("unknown: %d", got)
+	}
+	s.Learn("x", 2, 2000)
+	if got := s.Expect("x", 4); got != 5001 {
+		t.Errorf("seen once: %d", got)
+	}
+	s.Learn("x", 1, 8000)
+	if got := s.Expect("x", 1); got != 10001 {
+		t.Errorf("more: %d", got)
+	}
+	for range 100 {
+		s.Learn("x", 1, 1000)
+	}
+	if got := s.Expect("x", 1); got > 1300 || got < 1250 {
+		t.Errorf("less, for long: %d", got)
+	}
+}
+
 // TestBounds: however many ask, what is kept of them is bounded, and those who are in are never forgotten.
 func TestBounds(t *testing.T) {
 	d := door(t, Config{Owner: Limits{Rate: 1, Burst: 1}, MaxIdle: 100})
--- a/internal/admission/door.go
+++ b/internal/admission/door.go
@@ -19,6 +19,7 @@
 	held   int64
 	moved  time.Time // when it last made progress, or began to hold
 	heavy  int       // its index among those that hold; -1 where it holds nothing
+	read   bool      // something of what it holds is being read; else it is only reserved
 	gone   bool
 	cut    bool
 }
@@ -228,6 +229,14 @@
 // Hold asks for room for bytes that a pass is to hold. Where there is none it may be made by cutting others, which are
 // returned and hold nothing from now on; their streams must be ended. A refusal cuts nobody.
 func (d *Door) Hold(now time.Time, p *Pass, bytes int64) (cut []*Pass, refused *Refusal) {
+	if cut, refused = d.Reserve(now, p, bytes); refused == nil && !p.read && !p.cut {
+		p.read, p.moved = p.held > 0, now
+	}
+	return cut, refused
+}
+
+// Reserve is Hold for an answer that has not come yet: nobody is cut for not reading what is not there.
+func (d *Door) Reserve(now time.Time, p *Pass, bytes int64) (cut []*Pass, refused *Refusal) {
 	if p.gone || p.cut || bytes <= 0 {
 		return nil, nil
 	}
@@ -270,7 +279,7 @@
 // slowest are the readers that may be cut for another, the first to go first.
 func (d *Door) slowest(now time.Time, but *Pass) (list []*Pass) {
 	for _, p := range d.heavy {
-		if p != but && now.Sub(p.moved) >= d.cfg.Grace {
+		if p != but && p.read && now.Sub(p.moved) >= d.cfg.Grace {
 			list = append(list, p)
 		}
 	}
@@ -304,14 +313,14 @@
 		last := d.heavy[len(d.heavy)-1]
 		d.heavy[p.heavy], last.heavy = last, p.heavy
 		d.heavy = d.heavy[:len(d.heavy)-1]
-		p.heavy = -1
+		p.heavy, p.read = -1, false
 	}
 }
 
 // Tick returns those that have made no progress for Stall. They hold nothing from now on; their streams must be ended.
 func (d *Door) Tick(now time.Time) (cut []*Pass) {
 	for _, p := range d.heavy {
-		if now.Sub(p.moved) >= d.cfg.Stall {
+		if p.read && now.Sub(p.moved) >= d.cfg.Stall {
 			cut = append(cut, p)
 		}
 	}
@@ -326,7 +335,7 @@
 // Next is when Tick must be called if nothing else happens before; zero where it need not be.
 func (d *Door) Next() (at time.Time) {
 	for _, p := range d.heavy {
-		if due := p.moved.Add(d.cfg.Stall); at.IsZero() || due.Before(at) {
+		if due := p.moved.Add(d.cfg.Stall); p.read && (at.IsZero() || due.Before(at)) {
 			at = due
 		}
 	}
--- a/internal/flight/calls.go
+++ b/internal/flight/calls.go
@@ -314,19 +314,24 @@
 	if err != nil {
 		return err
 	}
+	defer leave()
+	room, err := s.reserve(g, q.Class, len(q.Parts))
+	if err != nil {
+		return err
+	}
 	answer, err := s.Core.Ask(ctx, q)
-	leave()
 	if err := verdict(ctx, answer, err, end); err != nil {
+		room.drop()
 		return err
 	}
-	return s.send(g, stream, s.class(q.Class), share{whole: answer.Whole, hits: answer.Hits, missing: missing(q.Parts, answer.Hits)}, o)
+	return s.send(room, stream, s.class(q.Class), share{whole: answer.Whole, hits: answer.Hits, missing: missing(q.Parts, answer.Hits)}, o)
 }
 
 // send writes a share of an answer to a stream. A reader that is slow holds up its own stream, until its deadline or
 // until the door cuts it.
-func (s *Server) send(g *guest, stream flight.DataStreamWriter, class Class, sh share, o options) error {
+func (s *Server) send(room *room, stream flight.DataStreamWriter, class Class, sh share, o options) error {
 	total := size(sh.hits)
-	read, err := s.hold(g, total)
+	read, err := room.come(total)
 	if err != nil {
 		return err
 	}
@@ -378,7 +383,8 @@
 					}
 				}
 			}
-			err := s.send(g, stream, s.class(k.query.Class), share{whole: whole, hits: hits, missing: missing(parts, hits)}, o)
+			// What is kept is counted with the flights; room is asked for what is sent of it.
+			err := s.send(&room{s: s, g: g, class: k.query.Class}, stream, s.class(k.query.Class), share{whole: whole, hits: hits, missing: missing(parts, hits)}, o)
 			s.mu.Lock()
 			s.flights.Sent(time.Now(), t.Flight, t.Range, err == nil)
 			s.mu.Unlock()
--- a/internal/flight/exchange.go
+++ b/internal/flight/exchange.go
@@ -170,16 +170,22 @@
 	if err != nil {
 		return err
 	}
+	defer leave()
+	room, err := s.reserve(e.g, q.Class, len(q.Parts))
+	if err != nil {
+		return err
+	}
 	answer, err := s.Core.Ask(ctx, q)
-	leave()
 	if errors.Is(err, core.ErrGone) && time.Now().Before(end) {
+		room.drop()
 		return status.Error(codes.Canceled, "was cancelled")
 	}
 	if err := verdict(ctx, answer, err, end); err != nil {
+		room.drop()
 		return err
 	}
 	total := size(answer.Hits)
-	read, err := s.hold(e.g, total)
+	read, err := room.come(total)
 	if err != nil {
 		return err
 	}
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -65,6 +66,7 @@
 	mu    sync.Mutex
 	ch    *channel // the one in use; nil where there is none
 	calls map[*core.Attempt]*call
+	pause backOff
 }
 
 // channel is one connection; it is closed once it is out of use and nothing is out on it.
@@ -73,6 +75,7 @@
 	client  flight.Client
 	out     int
 	retired bool
+	lost    bool // it never came up, and that was noted
 	heard   time.Time
 }
 
@@ -175,13 +178,47 @@
 	}
 }
 
-var errSlots = errors.New("no descriptor left for a connection")
+var (
+	errSlots = errors.New("no descriptor left for a connection")
+	errPause = errors.New("the last connections failed; none is opened for a moment")
+)
+
+// Pauses between connections that fail; they double.
+const (
+	leastBackOff = 50 * time.Millisecond
+	mostBackOff  = time.Second
+)
+
+// backOff is when the next connection may be opened, once some have failed. Its methods take the time; it reads no clock.
+type backOff struct {
+	failed int
+	until  time.Time
+}
+
+// open tells whether a connection may be opened.
+func (b *backOff) open(now time.Time) bool { return !now.Before(b.until) }
+
+// note takes in how one ended; chance within 0 and 1 spreads those who wait for the same data node.
+func (b *backOff) note(now time.Time, up bool, chance float64) {
+	if up {
+		*b = backOff{}
+		return
+	}
+	if b.failed++; b.failed > 1 { // one may fail by chance, and is tried anew at once
+		pause := min(leastBackOff<<min(b.failed-2, 10), mostBackOff)
+		b.until = now.Add(time.Duration(float64(pause) * (0.5 + chance/2)))
+	}
+}
 
 // acquire returns the channel in use, opening one where there is none, and waits until it is up.
 func (p *peer) acquire(ctx context.Context) (*channel, error) {
 	end := time.Now().Add(p.Connect)
 	p.mu.Lock()
 	if p.ch == nil {
+		if !p.pause.open(time.Now()) {
+			p.mu.Unlock()
+			return nil, errPause
+		}
 		select {
 		case p.Slots <- struct{}{}:
 		default:
@@ -208,6 +245,9 @@
 		state := ch.cc.GetState()
 		switch state {
 		case connectivity.Ready:
+			p.mu.Lock()
+			p.pause.note(time.Now(), true, 0)
+			p.mu.Unlock()
 			return ch, nil
 		case connectivity.Idle:
 			ch.cc.Connect()
@@ -215,6 +255,10 @@
 		if state == connectivity.TransientFailure || state == connectivity.Shutdown || !ch.cc.WaitForStateChange(up, state) {
 			p.retire(func(o *channel) bool { return o == ch })
 			p.mu.Lock()
+			if !ch.lost && ctx.Err() == nil { // several may have waited for it; it failed once
+				ch.lost = true
+				p.pause.note(time.Now(), false, rand.Float64())
+			}
 			p.release(ch, 1)
 			p.mu.Unlock()
 			return nil, fmt.Errorf("channel is %v", state)
--- a/internal/flight/server.go
+++ b/internal/flight/server.go
@@ -90,6 +90,7 @@
 	kept     map[string]*kept
 	sessions *state.Sessions
 	presses  []*press
+	sizes    admission.Sizes
 }
 
 // NewServer returns a server in front of the core with nothing but a bound on what answers that are being read hold.
@@ -357,22 +358,62 @@
 	}, nil
 }
 
-// hold asks for room for an answer that is about to be read; read tells what has been.
-func (s *Server) hold(g *guest, bytes int64) (read func(int64), err error) {
+// room is what a query has asked for before its answer came.
+type room struct {
+	s     *Server
+	g     *guest
+	class string
+	parts int
+	bytes int64
+}
+
+// reserve asks for room for an answer that is still to come, by what its class has needed. It is given back by come or
+// by drop.
+func (s *Server) reserve(g *guest, class string, parts int) (*room, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cut, refusal := s.door.Hold(time.Now(), g.pass, bytes)
+	r := &room{s, g, class, parts, min(s.sizes.Expect(class, parts), s.Memory)}
+	cut, refusal := s.door.Reserve(time.Now(), g.pass, r.bytes)
+	return r, s.held(cut, refusal, r.bytes)
+}
+
+// held ends the streams that were cut for another, and turns a refusal into an error. The caller holds the lock.
+func (s *Server) held(cut []*admission.Pass, refusal *admission.Refusal, bytes int64) error {
 	for _, p := range cut {
 		s.cut(p, errShort)
 	}
-	if refusal != nil {
-		s.Log.Warn("answers that are being read hold all they may; refused", "bytes", bytes, "cause", refusal)
-		return nil, unavailable(refusal.Error(), refusal.After)
+	if refusal == nil {
+		return nil
+	}
+	s.Log.Warn("answers that are being read hold all they may; refused", "bytes", bytes, "cause", refusal)
+	return unavailable(refusal.Error(), refusal.After)
+}
+
+// drop gives the room back: no answer came.
+func (r *room) drop() {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.s.door.Read(time.Now(), r.g.pass, r.bytes)
+}
+
+// come turns the room into that of the answer; read tells what of it has been read.
+func (r *room) come(bytes int64) (read func(int64), err error) {
+	s := r.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sizes.Learn(r.class, r.parts, bytes)
+	if bytes < r.bytes {
+		s.door.Read(time.Now(), r.g.pass, r.bytes-bytes)
+	}
+	cut, refusal := s.door.Hold(time.Now(), r.g.pass, bytes-r.bytes)
+	if err := s.held(cut, refusal, bytes); err != nil {
+		s.door.Read(time.Now(), r.g.pass, min(bytes, r.bytes))
+		return nil, err
 	}
 	return func(n int64) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.door.Read(time.Now(), g.pass, n)
+		s.door.Read(time.Now(), r.g.pass, n)
 	}, nil
 }
 
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -279,6 +279,18 @@
 	return 0
 }
 
+// Anonymous is the memory that the program holds for itself, without its own file's pages, in MB.
+func (f *Fleet) Anonymous() float64 {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return float64(kb) / 1024
+		}
+	}
+	return 0
+}
+
 // Questions are those that the servers were asked.
 func (f *Fleet) Questions() (n int) {
 	for _, s := range f.Servers {
