DNS-SD: go on browsing a zone whose serial is refused; negative answers hold

Cause: after the first list, a refused SOA question counted as trouble, so a zone without a serial was browsed once and never again; and the time of a negative answer was noted but not used.

An authoritative empty list is told once, not at each turn.

--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -245,7 +245,7 @@
 		Connect: cfg.Settings.Limits.ConnectTimeout, Idle: cfg.Settings.Limits.ConnIdle, Slots: slots}
 	c.Carrier(dnssd.Flight, nodes.Carry)
 	client := dnssd.NewClient(deploy.DNSSD.Questions, max(4, cfg.Limits.Sockets/16))
-	listener := &dnssd.Listener{Allow: deploy.DNSSD.Allowed(), Log: log}
+	listener := &dnssd.Listener{Allow: deploy.DNSSD.Allowed()}
 	for _, z := range zones {
 		source := &keeper{Source: c.Source(membership.Spec{Name: z.Domain, Rank: zoneRank, Damped: true,
 			MaxStale: time.Duration(deploy.DNSSD.Stale)}), key: store.Members + "/" + z.Domain, store: kept}
--- a/internal/dnssd/follow.go
+++ b/internal/dnssd/follow.go
@@ -62,20 +62,18 @@
 	nudge chan struct{}
 
 	// Of the goroutine that runs.
-	server    int
-	held      *records // nil while nothing was fetched
-	whole     bool     // held came by a transfer
-	undone    bool     // the last browse did not come to its end
-	serial    uint32
-	dated     bool
-	apex      string
-	noMoves   time.Time // no transfer is asked for until then
-	failures  int
-	relayed   bool // the last answers came without authority
-	cut       bool // the last list came only in part
-	ttl       time.Duration
-	troubles  map[string]string // by instance, as logged
-	transfers int
+	server   int
+	held     *records // nil while nothing was fetched
+	whole    bool     // held came by a transfer
+	undone   bool     // the last browse did not come to its end
+	serial   uint32
+	dated    bool
+	apex     string
+	noMoves  time.Time // no transfer is asked for until then
+	failures int
+	relayed  bool              // the last answers came without authority
+	cut      bool              // the last list came only in part
+	troubles map[string]string // by instance, as logged
 }
 
 func (f *Follower) init() { f.once.Do(func() { f.nudge = make(chan struct{}, 1) }) }
@@ -148,8 +146,8 @@
 	soa, auth, err := f.Client.zoneSerial(ctx, server, f.Zone.Key, f.Zone.Domain)
 	var refused *rcodeError
 	switch {
-	case errors.As(err, &refused) && !f.dated && f.held == nil:
-		soa = nil // it may answer other questions
+	case errors.As(err, &refused) && !f.dated:
+		soa = nil // it may answer other questions, and goes on to
 	case err != nil:
 		return err
 	}
@@ -203,7 +201,6 @@
 		return false
 	}
 	f.undone, f.cut = false, false
-	f.transfers++
 	// What a name server leaves out is known to be missing: the zone is all here.
 	f.held, f.whole, f.serial = next, true, serial
 	for pass := 0; pass < maxHops; pass++ {
@@ -266,8 +263,8 @@
 			known = append(known, k)
 		}
 	}
-	for k := range f.held.none {
-		if !fresh[k] {
+	for k, until := range f.held.none { // a negative answer holds for its time, unless a new serial says otherwise
+		if !fresh[k] && (f.dated || !time.Now().Before(until)) {
 			known = append(known, k)
 		}
 	}
@@ -337,7 +334,7 @@
 	case f.relayed:
 		u.Basis = membership.Relayed
 	}
-	if f.ttl = out.ttl; !complete && f.relayed && len(out.nodes) == 0 {
+	if !complete && f.relayed && len(out.nodes) == 0 {
 		return
 	}
 	f.To.Tell(u)
--- a/internal/dnssd/follow_test.go
+++ b/internal/dnssd/follow_test.go
@@ -368,7 +368,7 @@
 			go slow.Run(t.Context())
 			allow := new(bart.Lite)
 			allow.Insert(netip.MustParsePrefix(c.allow))
-			l := &dnssd.Listener{Allow: allow, Followers: []*dnssd.Follower{slow}, Log: r.f.Log}
+			l := &dnssd.Listener{Allow: allow, Followers: []*dnssd.Follower{slow}}
 			pc, err := net.ListenPacket("udp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -428,6 +428,33 @@
 	r.until("a serving, b serving, c serving")
 }
 
+// TestWithoutSerial: a zone whose serial is refused is browsed again and again, and what has no record is not asked for
+// at each turn.
+func TestWithoutSerial(t *testing.T) {
+	zone := nameserver.NewZone("club.example.", 4500)
+	s, err := nameserver.Start(zone, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	r := &rig{T: t, zone: zone, servers: []*nameserver.Server{s}}
+	r.do(0, "nosoa on", "bare on", "add a 127.0.0.1:1001", "add v6 [::1]:1002")
+	r.table, _ = membership.New(membership.Config{})
+	r.source = r.table.Source(membership.Spec{Name: "zone"})
+	r.f = &dnssd.Follower{Zone: dnssd.Zone{Domain: "club.example.", Services: []string{"_dn._tcp"}, Networks: loopback(), Servers: []string{s.Addr()}},
+		Client: dnssd.NewClient(1000, 16), To: r, Log: slog.New(slog.DiscardHandler), Poll: 50 * time.Millisecond}
+	go r.f.Run(t.Context())
+	r.until("a serving, v6 serving")
+	a := s.Asked(dns.TypeA)
+	r.do(0, "remove a")
+	r.until("v6 serving") // by the next turn
+	r.do(0, "add c 127.0.0.1:1003")
+	r.until("c serving, v6 serving")
+	if more := s.Asked(dns.TypeA) - a; more > 3 { // c's, and that of v6 once its negative answer is over
+		t.Errorf("%d questions for addresses that there are none of", more)
+	}
+}
+
 // TestSteady: while nothing changes, only the serial is asked for.
 func TestSteady(t *testing.T) {
 	r := newRig(t, 1, false, nil)
--- a/internal/dnssd/names.go
+++ b/internal/dnssd/names.go
@@ -76,11 +76,11 @@
 	return label, nil
 }
 
-// Text reads the strings of a TXT record: keys in lower case, the first of each, without those that have no name. A
-// key without "=" has no value; present tells that it is there.
+// Text is what the strings of a TXT record say, by key in lower case. A key without "=" is there with an empty value.
 type Text map[string]string
 
-// ReadText reads the strings of a TXT record, as the DNS library holds them.
+// ReadText reads the strings of a TXT record, as the DNS library holds them: the first of each key counts, and one without
+// a key does not.
 func ReadText(list []string) Text {
 	t := Text{}
 	for _, s := range list {
--- a/internal/dnssd/notify.go
+++ b/internal/dnssd/notify.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/netip"
 	"strings"
@@ -19,7 +18,6 @@
 type Listener struct {
 	Allow     *bart.Lite
 	Followers []*Follower
-	Log       *slog.Logger
 
 	taken, dropped atomic.Uint64
 }
--- a/internal/lab/nameserver/nameserver.go
+++ b/internal/lab/nameserver/nameserver.go
@@ -224,9 +224,10 @@
 	cutList   bool // lists come half, and marked as cut
 	lie       bool // answers are to another question
 	transfers bool
-	cutAfter  int // transfers end after so many messages; below 0 for never
-	perMsg    int // records in one message of a transfer
-	bare      bool
+	cutAfter  int      // transfers end after so many messages; below 0 for never
+	perMsg    int      // records in one message of a transfer
+	bare      bool     // lists come without what saves the next questions
+	noSOA     bool     // it refuses to tell its serial
 	extra     []dns.RR // that ride along, whatever is asked
 	asked     map[uint16]int
 }
@@ -291,7 +292,7 @@
 //	add LABEL ADDR [key=value ...]   an instance of _dn._tcp; priority= and weight= go to SRV, the rest to TXT
 //	remove LABEL                     drain LABEL (its TXT says so)
 //	flap LABEL PAUSE                 it vanishes, and returns after the pause
-//	mute|refuse|servfail|lose|truncate|lie|transfer|bare on|off
+//	mute|refuse|servfail|lose|truncate|lie|transfer|bare|nosoa on|off
 //	serial N                         cut N (messages of a transfer; -1 for none)
 //
 // An error names the line.
@@ -383,6 +384,8 @@
 			s.transfers = on
 		case "bare":
 			s.bare = on
+		case "nosoa":
+			s.noSOA = on
 		default:
 			return fail("no such word")
 		}
@@ -397,7 +400,7 @@
 		s.asked[q.Question[0].Qtype]++
 	}
 	mute, refuse, lost, cutList, lie, transfers, extra := s.mute, s.refuse, s.lost, s.cutList, s.lie, s.transfers, s.extra
-	cutAfter, perMsg, bare := s.cutAfter, s.perMsg, s.bare
+	cutAfter, perMsg, bare, noSOA := s.cutAfter, s.perMsg, s.bare, s.noSOA
 	s.mu.Unlock()
 	if mute || len(q.Question) != 1 {
 		return
@@ -409,6 +412,8 @@
 	switch {
 	case refuse != 0:
 		a.Rcode = refuse
+	case noSOA && asked.Qtype == dns.TypeSOA:
+		a.Rcode = dns.RcodeRefused
 	case q.IsTsig() != nil && w.TsigStatus() != nil:
 		a.Rcode = dns.RcodeNotAuth
 	case lost: // lame: neither an error nor authority
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -150,8 +150,14 @@
 		for id, c := range src.claims {
 			missing[id] = c.rec.State != Gone
 		}
-		if len(u.Records) == 0 && len(src.claims) > 0 {
-			t.note(Emptied, src, "", fmt.Sprintf("%d data nodes", len(src.claims)))
+		was := 0
+		for _, listed := range missing {
+			if listed {
+				was++
+			}
+		}
+		if len(u.Records) == 0 && was > 0 {
+			t.note(Emptied, src, "", fmt.Sprintf("%d data nodes", was))
 		}
 	}
 	for _, rec := range u.Records {
