Review: one way for what stood twice, no dead code, a deadline between two batches

Change: they are merged or gone; parts of a call go out in their order; a test lets a query's time pass between two batches.

--- a/cmd/gullfall-lab/demo.go
+++ b/cmd/gullfall-lab/demo.go
@@ -69,12 +69,7 @@
 	defer stop()
 	f, err := fleet.Start(ctx, fleet.Options{Nodes: 24, Listed: 8, Cells: 4, Shards: 16, TTL: 4500, Transfer: true, Notify: false,
 		Takes: 10 * time.Millisecond, Binary: binary(d.Binary), Seed: d.Seed})
-	stopped := false
-	defer func() {
-		if !stopped && f != nil {
-			f.Stop()
-		}
-	}()
+	defer f.Stop()
 	if err != nil {
 		return err
 	}
@@ -90,7 +85,6 @@
 	sum := l.Sum()
 	account := f.Ledger.Account()
 	cpu, memory := f.CPU(), f.Memory()
-	stopped = true
 	ended := f.Stop()
 	fmt.Printf("\n%-8s %6s %6s %7s %7s %6s %5s %8s %8s\n", "class", "asked", "served", "partial", "refused", "failed", "lost", "p50 ms", "p99 ms")
 	for _, c := range classes(l) {
--- a/cmd/gullfall-lab/dnssd.go
+++ b/cmd/gullfall-lab/dnssd.go
@@ -136,12 +136,7 @@
 	defer stop()
 	f, err := fleet.Start(ctx, fleet.Options{Nodes: d.Nodes, Cells: 8, Shards: 32, TTL: d.TTL, Transfer: !d.Browse, Notify: d.Notify,
 		Hollow: d.Rest, Takes: 8 * time.Millisecond, Binary: binary(d.Binary), Seed: d.Seed})
-	stopped := false
-	defer func() {
-		if !stopped && f != nil {
-			f.Stop()
-		}
-	}()
+	defer f.Stop()
 	if err != nil {
 		return err
 	}
@@ -185,7 +180,6 @@
 	if d.KeepLogs {
 		fmt.Println(f.Log(20000))
 	}
-	stopped = true
 	err = f.Stop()
 	fmt.Printf("%d data nodes, TTL %d s, transfers %v, NOTIFY %v, %.0f s on %d cores\n", r.Nodes, r.TTL, r.Transfer, r.Notify, r.Seconds, r.Cores)
 	if !d.Rest {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -3,7 +3,6 @@
 // Table tests of the door's rules, a property test against a naive model, and benchmarks.
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"strings"
@@ -254,10 +253,6 @@
 	if _, err := New(Config{Grace: time.Minute}); err == nil {
 		t.Error("a grace above the stall was taken")
 	}
-	var r error = &Refusal{}
-	if !errors.As(r, new(*Refusal)) {
-		t.Error("no error")
-	}
 }
 
 // TestAgainstModel: passes and bytes of every scope agree with a model that counts them anew each time.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -224,15 +224,8 @@
 // weightSlack is by how much weights may miss 1 for being rounded.
 const weightSlack = 1e-3
 
-// Check finds what can't be asked, but for a deadline; the error wraps ErrInput and its message is for the client.
+// Check finds what can't be asked, whatever its deadline; the error wraps ErrInput and its message is for the client.
 func (c *Core) Check(q *Query) error {
-	asked := *q
-	asked.Deadline = time.Now().Add(time.Hour)
-	return c.check(&asked)
-}
-
-// check finds what can't be asked; the message is for the client.
-func (c *Core) check(q *Query) error {
 	if _, known := c.classes[q.Class]; !known {
 		return fmt.Errorf("%w: unknown class %q", ErrInput, q.Class)
 	}
@@ -263,18 +256,18 @@
 	if math.Abs(sum-1) > weightSlack {
 		return fmt.Errorf("%w: weights add up to %g", ErrInput, sum)
 	}
-	if !q.Deadline.After(time.Now()) {
-		return fmt.Errorf("%w: deadline has passed", ErrInput)
-	}
 	return nil
 }
 
 // Ask takes a query and waits for its final answer. An error wraps ErrInput, where the query was not taken,
 // or is ErrGone, where ctx ended first.
 func (c *Core) Ask(ctx context.Context, asked Query) (Answer, error) {
-	if err := c.check(&asked); err != nil {
+	if err := c.Check(&asked); err != nil {
 		return Answer{}, err
 	}
+	if !asked.Deadline.After(time.Now()) {
+		return Answer{}, fmt.Errorf("%w: deadline has passed", ErrInput)
+	}
 	// No client waits for longer than its class's limit, whatever it says.
 	if end := time.Now().Add(c.set.Classes[c.classes[asked.Class]].Deadline); asked.Deadline.After(end) {
 		asked.Deadline = end
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -155,24 +155,6 @@
 	return s.s.Claims()
 }
 
-// Serial is the zone's serial as the source last told it.
-func (s *Source) Serial() (serial uint32, known bool) {
-	s.c.mu.Lock()
-	defer s.c.mu.Unlock()
-	return s.s.Serial()
-}
-
-// Members is the joined list, and in words how each entry came to be.
-func (c *Core) Members() (all []Member, why []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	all = c.table.List()
-	for _, m := range all {
-		why = append(why, c.table.Explain(m.ID))
-	}
-	return all, why
-}
-
 // Covered is how many shards have a serving data node now.
 func (c *Core) Covered() (n int) {
 	c.mu.Lock()
--- a/internal/core/sources_test.go
+++ b/internal/core/sources_test.go
@@ -135,8 +135,9 @@
 		zone := s.Source(membership.Spec{Name: "zone"})
 		zone.Replace([]Member{{ID: "a", Addr: "1", Proto: "first", Priority: 0}, {ID: "b", Addr: "2", Priority: 10}}, false)
 		state := func() string {
-			all, _ := s.Members()
-			return fmt.Sprint(all[1].State)
+			s.Core.mu.Lock()
+			defer s.Core.mu.Unlock()
+			return s.table.List()[1].State.String()
 		}
 		if got := state(); got != "draining" {
 			t.Errorf("while the first is sound the second is %s", got)
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -352,6 +352,28 @@
 	}
 }
 
+// answerMeta is the metadata of an answer's batches.
+type answerMeta struct {
+	Complete bool
+	Status   string
+	RetryMS  int64 `json:"retry_ms"`
+}
+
+// readAll reads a stream to its end, unless there was an error before.
+func readAll(in *arrowflight.Reader, err error) (docs []string, meta answerMeta, _ error) {
+	for err == nil && in.Next() {
+		values := in.RecordBatch().Column(1).(*array.Binary)
+		for i := range values.Len() {
+			docs = append(docs, string(values.Value(i)))
+		}
+		json.Unmarshal(in.LatestAppMetadata(), &meta)
+	}
+	if err == nil {
+		err = in.Err()
+	}
+	return docs, meta, err
+}
+
 // frontExchange is the Flight front and a client that asks by DoExchange, a stream for each query.
 func frontExchange(c *core.Core, ln net.Listener) (asker, func()) {
 	server := flight.NewServer(c, quiet, 16<<20)
@@ -376,22 +398,7 @@
 			Type: arrowflight.DescriptorPATH, Path: []string{class}}})
 		stream.CloseSend()
 		in, err := arrowflight.NewRecordReader(stream)
-		var docs []string
-		var meta struct {
-			Complete bool
-			Status   string
-			RetryMS  int64 `json:"retry_ms"`
-		}
-		for err == nil && in.Next() {
-			values := in.RecordBatch().Column(1).(*array.Binary)
-			for i := range values.Len() {
-				docs = append(docs, string(values.Value(i)))
-			}
-			json.Unmarshal(in.LatestAppMetadata(), &meta)
-		}
-		if err == nil {
-			err = in.Err()
-		}
+		docs, meta, err := readAll(in, err)
 		switch {
 		case err != nil && status.Code(err) == codes.InvalidArgument || meta.Status == codes.InvalidArgument.String():
 			return "bad input"
@@ -513,18 +520,7 @@
 		if err == nil {
 			in, err = arrowflight.NewRecordReader(stream)
 		}
-		var docs []string
-		var meta struct{ Complete bool }
-		for err == nil && in.Next() {
-			values := in.RecordBatch().Column(1).(*array.Binary)
-			for i := range values.Len() {
-				docs = append(docs, string(values.Value(i)))
-			}
-			json.Unmarshal(in.LatestAppMetadata(), &meta)
-		}
-		if err == nil {
-			err = in.Err()
-		}
+		docs, meta, err := readAll(in, err)
 		st, _ := status.FromError(err)
 		switch st.Code() {
 		case codes.OK:
--- a/internal/flight/calls.go
+++ b/internal/flight/calls.go
@@ -82,14 +82,13 @@
 
 // kept is what the server has of a flight, beside its account in internal/state.
 type kept struct {
-	query    core.Query
-	ranges   [][]core.Part
-	in       atomic.Int32 // parts that have come
-	stop     context.CancelFunc
-	done     chan struct{} // closed once there is a final answer
-	answer   core.Answer
-	err      error // where there is none
-	schemaOf string
+	query  core.Query
+	ranges [][]core.Part
+	in     atomic.Int32 // parts that have come
+	stop   context.CancelFunc
+	done   chan struct{} // closed once there is a final answer
+	answer core.Answer
+	err    error // where there is none
 }
 
 // fetchTicket is the payload of a sealed ticket.
@@ -130,7 +129,7 @@
 	if n > mostEndpoints || n > len(q.Parts) {
 		return "", nil, status.Errorf(codes.InvalidArgument, "endpoints: %d; 1 to %d are possible", n, min(mostEndpoints, len(q.Parts)))
 	}
-	k = &kept{query: q, done: make(chan struct{}), schemaOf: q.Class}
+	k = &kept{query: q, done: make(chan struct{})}
 	for i := range n {
 		k.ranges = append(k.ranges, q.Parts[i*len(q.Parts)/n:(i+1)*len(q.Parts)/n])
 	}
@@ -157,7 +156,7 @@
 
 // info describes a flight. Its tickets hold until then.
 func (s *Server) info(d *flight.FlightDescriptor, id string, k *kept, until time.Time) *flight.FlightInfo {
-	out := &flight.FlightInfo{Schema: flight.SerializeSchema(s.class(k.schemaOf).Schema, memory.DefaultAllocator), FlightDescriptor: d,
+	out := &flight.FlightInfo{Schema: flight.SerializeSchema(s.class(k.query.Class).Schema, memory.DefaultAllocator), FlightDescriptor: d,
 		TotalRecords: -1, TotalBytes: -1, Ordered: false}
 	for i := range k.ranges {
 		payload, _ := json.Marshal(fetchTicket{id, i})
@@ -469,7 +468,7 @@
 	default:
 	}
 	return &flight.PollInfo{Info: &flight.FlightInfo{FlightDescriptor: d, TotalRecords: -1, TotalBytes: -1,
-		Schema: flight.SerializeSchema(s.class(k.schemaOf).Schema, memory.DefaultAllocator)}, Progress: &progress, ExpirationTime: timestamppb.New(until),
+		Schema: flight.SerializeSchema(s.class(k.query.Class).Schema, memory.DefaultAllocator)}, Progress: &progress, ExpirationTime: timestamppb.New(until),
 		FlightDescriptor: &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: s.keys.seal(forPoll, owner, until, []byte(id))}}, nil
 }
 
--- a/internal/flight/nodecalls.go
+++ b/internal/flight/nodecalls.go
@@ -58,6 +58,7 @@
 	cancel  context.CancelFunc
 	ch      *channel
 	stream  flight.FlightService_DoExchangeClient
+	list    []*core.Attempt          // all of its parts, in the order in which they were sent here
 	left    map[string]*core.Attempt // by id, those without an end
 	sending sync.Mutex               // one message at a time
 }
@@ -71,7 +72,7 @@
 		}
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
-	g := &group{cancel: cancel, left: map[string]*core.Attempt{}}
+	g := &group{cancel: cancel, list: list, left: map[string]*core.Attempt{}}
 	p.mu.Lock()
 	for _, a := range list {
 		g.left[a.ID] = a
@@ -134,12 +135,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.node.Barred() {
-		for _, a := range g.left {
+		for _, a := range g.list {
 			p.finish(g, a, core.Result{Outcome: core.Busy})
 		}
 	}
 	g.ch = ch
-	for _, a := range g.left {
+	for _, a := range g.list {
+		if g.left[a.ID] != a {
+			continue // given up while it waited
+		}
 		p.calls[a].begun, p.calls[a].ch = time.Now(), ch
 		ask.Parts = append(ask.Parts, PartAsk{ID: a.ID, Shard: a.Shard, Q: a.Text, DeadlineMS: max(1, time.Until(a.Deadline).Milliseconds())})
 	}
@@ -301,7 +305,7 @@
 func (p *peer) rest(g *group, r core.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, a := range g.left {
+	for _, a := range g.list {
 		p.finish(g, a, r)
 	}
 }
--- a/internal/flight/suite_test.go
+++ b/internal/flight/suite_test.go
@@ -294,6 +294,40 @@
 	}
 }
 
+// TestDeadlineBetweenBatches: an answer whose time passes while it is being read ends as overtime, never as whole.
+func TestDeadlineBetweenBatches(t *testing.T) {
+	s := start(t, flight.Options{}, 0, answers(t, func(int) []byte { return make([]byte, 250<<10) }))
+	c := s.client()
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(500*time.Millisecond))
+	defer cancel()
+	stream, err := c.DoGet(ctx, &arrowflight.Ticket{Ticket: c.Question("", 0, 1, 2, 3, 4, 5, 6, 7)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	batches, last := 0, false
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			if status.Code(err) != codes.DeadlineExceeded {
+				t.Errorf("ended by %v", err)
+			}
+			break
+		}
+		if len(m.GetAppMetadata()) > 0 {
+			last = last || bytes.Contains(m.GetAppMetadata(), []byte(`"last":true`))
+			if batches++; batches == 1 {
+				time.Sleep(time.Second)
+			}
+		}
+	}
+	if batches == 0 || last {
+		t.Errorf("%d batches, the last among them: %v", batches, last)
+	}
+	if g, err := c.Get(t.Context(), c.Question("", 0)); err != nil || !g.Complete {
+		t.Errorf("the next one: %v", err)
+	}
+}
+
 // TestDrain: who comes during a drain is refused with a time to come back, a poll too; what is open has its answer.
 func TestDrain(t *testing.T) {
 	s := start(t, flight.Options{}, 400*time.Millisecond, nil)
--- a/internal/kv/db_test.go
+++ b/internal/kv/db_test.go
@@ -178,28 +178,38 @@
 	return list
 }
 
-// TestCrashOfStore: the power goes at every operation of writing, flushing, merging and trimming. What is found is the
-// state after some number of batches, none that was acknowledged missing; and it can be written on.
-func TestCrashOfStore(t *testing.T) {
-	const batches = 120
-	states := history(batches + 5)
+// written is a disk with a store of n batches, all that was due done and closed, and how it stood then.
+func written(t *testing.T, n int) (*disk.Disk, kv.Stats) {
+	t.Helper()
 	d := disk.New()
 	db, err := kv.Open(d, tiny)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for n := 1; n <= batches; n++ {
-		if err := db.Write(change(n)); err != nil {
+	for i := 1; i <= n; i++ {
+		if err := db.Write(change(i)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if err := db.Quiet(); err != nil {
 		t.Fatal(err)
 	}
-	if s := db.Stats(); s.Merged == 0 || s.Runs > 8 {
+	s := db.Stats()
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return d, s
+}
+
+// TestCrashOfStore: the power goes at every operation of writing, flushing, merging and trimming. What is found is the
+// state after some number of batches, none that was acknowledged missing; and it can be written on.
+func TestCrashOfStore(t *testing.T) {
+	const batches = 120
+	states := history(batches + 5)
+	d, s := written(t, batches)
+	if s.Merged == 0 || s.Runs > 8 {
 		t.Fatalf("no merge in this history: %+v", s)
 	}
-	db.Close()
 	total, _ := d.Ops()
 	found := 0
 	for at := 1; at <= total; at += 1 + at/150 {
@@ -249,20 +259,7 @@
 func TestFlipInStore(t *testing.T) {
 	const batches = 100
 	states := history(batches)
-	d := disk.New()
-	db, err := kv.Open(d, tiny)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for n := 1; n <= batches; n++ {
-		if err := db.Write(change(n)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := db.Quiet(); err != nil {
-		t.Fatal(err)
-	}
-	db.Close()
+	d, _ := written(t, batches)
 	chance := rand.New(rand.NewPCG(9, 9))
 	names, _ := d.List()
 	told := 0
--- a/internal/kv/table.go
+++ b/internal/kv/table.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
@@ -187,11 +186,8 @@
 	upTo   uint64 // highest number in it
 }
 
-// errTable marks a table that can't be read; it comes with the file and the offset.
-var errTable = errors.New("table is damaged")
-
 func (t *table) damage(at int64, cause string) error {
-	return &Damage{t.name, at, errTable.Error() + ": " + cause}
+	return &Damage{t.name, at, "table: " + cause}
 }
 
 // read returns n bytes at an offset that match the checksum behind them.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -60,6 +60,8 @@
 	cmd    *exec.Cmd
 	ended  chan error
 	chance *rand.Rand
+
+	stopped bool
 }
 
 // Domain is the zone's.
@@ -255,41 +257,26 @@
 	return time.Duration(user+system) * 10 * time.Millisecond // in hundredths of a second
 }
 
-// Memory is what the program holds in memory, in MB.
-func (f *Fleet) Memory() int {
+// status is a figure of the running program, in MB; 0 once it has ended.
+func (f *Fleet) status(name string) float64 {
 	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
 	for line := range strings.Lines(string(raw)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, name+":"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return kb / 1024
+			return float64(kb) / 1024
 		}
 	}
 	return 0
 }
 
+// Memory is what the program holds in memory, in MB.
+func (f *Fleet) Memory() int { return int(f.status("VmRSS")) }
+
 // Peak is the most that the program held in memory so far, in MB.
-func (f *Fleet) Peak() int {
-	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
-	for line := range strings.Lines(string(raw)) {
-		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return kb / 1024
-		}
-	}
-	return 0
-}
+func (f *Fleet) Peak() int { return int(f.status("VmHWM")) }
 
 // Anonymous is the memory that the program holds for itself, without its own file's pages, in MB.
-func (f *Fleet) Anonymous() float64 {
-	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
-	for line := range strings.Lines(string(raw)) {
-		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return float64(kb) / 1024
-		}
-	}
-	return 0
-}
+func (f *Fleet) Anonymous() float64 { return f.status("RssAnon") }
 
 // Questions are those that the servers were asked.
 func (f *Fleet) Questions() (n int) {
@@ -299,8 +286,12 @@
 	return n
 }
 
-// Stop ends the program by SIGTERM and everything else after it. It tells of a program that did not end well.
+// Stop ends the program by SIGTERM and everything else after it; once is enough. It tells of a program that did not end well.
 func (f *Fleet) Stop() (err error) {
+	if f.stopped {
+		return nil
+	}
+	f.stopped = true
 	if f.cmd != nil {
 		f.cmd.Process.Signal(syscall.SIGTERM)
 		select {
--- a/internal/lab/nodes/nodes.go
+++ b/internal/lab/nodes/nodes.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -140,19 +139,30 @@
 	return time.Duration(float64(n.Takes) * (0.5 + rand.Float64()))
 }
 
+// outs are the parts that are out on a connection or stream, by id, with what will answer them.
+type outs map[string]*time.Timer
+
+// end notes that a part is over; it tells whether it was out.
+func (o outs) end(n *Node, id string) bool {
+	t, was := o[id]
+	if was {
+		t.Stop()
+		delete(o, id)
+		n.Ledger.End(n.ID, id)
+	}
+	return was
+}
+
+func (o outs) endAll(n *Node) {
+	for id := range o {
+		o.end(n, id)
+	}
+}
+
 // serve speaks frames on a connection.
 func (n *Node) serve(nc net.Conn) {
 	var mu sync.Mutex // guards out and writing
-	out := map[string]*time.Timer{}
-	end := func(id string) bool {
-		t, was := out[id]
-		if was {
-			t.Stop()
-			delete(out, id)
-			n.Ledger.End(n.ID, id)
-		}
-		return was
-	}
+	out := outs{}
 	defer func() {
 		nc.Close()
 		n.mu.Lock()
@@ -160,9 +170,7 @@
 		n.mu.Unlock()
 		mu.Lock()
 		defer mu.Unlock()
-		for id := range out {
-			end(id)
-		}
+		out.endAll(n)
 	}()
 	write := func(letter byte, text string) {
 		frame := binary.LittleEndian.AppendUint32(nil, uint32(1+len(text)))
@@ -181,7 +189,7 @@
 		mu.Lock()
 		switch body[0] {
 		case 'X':
-			end(string(body[1:]))
+			out.end(n, string(body[1:]))
 		case 'P':
 			write('P', "ok")
 		case 'L':
@@ -214,7 +222,7 @@
 				out[id] = time.AfterFunc(n.pause(), func() {
 					mu.Lock()
 					defer mu.Unlock()
-					if end(id) {
+					if out.end(n, id) {
 						write('A', id+" ok 1 -\n"+n.doc(shard))
 					}
 				})
@@ -270,23 +278,12 @@
 		return status.Error(codes.InvalidArgument, "only parts")
 	}
 	var mu sync.Mutex // guards out and writing
-	out := map[string]*time.Timer{}
+	out := outs{}
 	w := arrowflight.NewRecordWriter(stream, ipc.WithSchema(flight.Schema))
-	end := func(id string) bool {
-		t, was := out[id]
-		if was {
-			t.Stop()
-			delete(out, id)
-			n.Ledger.End(n.ID, id)
-		}
-		return was
-	}
 	defer func() {
 		mu.Lock()
 		defer mu.Unlock()
-		for id := range out {
-			end(id)
-		}
+		out.endAll(n)
 	}()
 	tell := func(shard int, doc string, m flight.PartTold) {
 		b := array.NewRecordBuilder(memory.DefaultAllocator, flight.Schema)
@@ -307,7 +304,7 @@
 		}
 		mu.Lock()
 		if ask.Cancel != "" {
-			end(ask.Cancel)
+			out.end(n, ask.Cancel)
 		}
 		for _, part := range ask.Parts {
 			n.Ledger.Begin(n.ID, part.ID)
@@ -319,7 +316,7 @@
 			out[part.ID] = time.AfterFunc(n.pause(), func() {
 				mu.Lock()
 				defer mu.Unlock()
-				if end(part.ID) {
+				if out.end(n, part.ID) {
 					tell(part.Shard, n.doc(part.Shard), flight.PartTold{ID: part.ID, Last: true})
 				}
 			})
@@ -342,13 +339,3 @@
 	}
 	return stream.Send(&arrowflight.Result{Body: []byte(`{"util":0.5}`)})
 }
-
-// Wait returns once it can be reached, or ctx ends.
-func (n *Node) Wait(ctx context.Context) error {
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", n.addr)
-	if err == nil {
-		nc.Close()
-	}
-	return err
-}
