Probes: a fleet's coordinators share them, and a no is no bad sign

At fault: probed and warn in policy.go. Parts waited a twenty-fifth of their aim for them (15 ms).

Change: a probe answered 'err' tells that the data node can be reached, and nothing against it; of more than three coordinators each earns its share.

--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -38,6 +38,7 @@
 	shunTimes    = 2.0   // median latencies that a full replica is left alone
 	coldUse      = 0.8   // share of the falling multiple that is used
 	joinShare    = 0.25  // a shared call may fill this share of the time to the aim
+	probesFew    = 3.0   // nodes up to which each earns them in full: of more, all see the same signs
 	probesEarned = 12.0  // by each bad sign, spent by probing holders before a part
 	silenceSign  = 0.15  // of a reset, as a sign: most silent parts are only slow
 	reapAims     = 8.0   // longest aims for which idle connections found dead are closed before use
@@ -146,6 +147,11 @@
 	if r == nil {
 		return
 	}
+	if e.Outcome == Errored {
+		// It answers, and will not say more: it is probed by many. That is no sign against it.
+		r.seen, r.doubted = a.now, 0
+		return
+	}
 	if e.Outcome != OK {
 		r.doubted = a.now
 		a.warn(1)
@@ -167,7 +173,8 @@
 // warn notes a bad sign: a reset, a failed connect or probe, a silence. It puts the node on guard by
 // earning probes; they run out soon where all of them come back.
 func (a *Aggregator) warn(weight float64) {
-	a.probes = math.Min(a.probes+weight*probesEarned, float64(len(a.fleet)))
+	few := math.Min(1, probesFew/float64(a.set.Aggregators))
+	a.probes = math.Min(a.probes+few*weight*probesEarned, few*float64(len(a.fleet)))
 }
 
 // fresh is how long what was heard of a replica holds.
