Discovery: spread the calls of a fleet for the list, with pauses that double

Discovery lists to about sixteen callers a second and cuts off those that wait for 2 s. At fault: pause in discovery.go.

Checked: a trace of each call.

Change: the first call within half the drain's grace; further ones drawn from the time that the lists of all coordinators take, doubling up to twice that. The head of the answer no longer counts as the list.

--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -103,6 +104,8 @@
 	c.Carrier(dnssd.Frames, nodes.Carry)
 	watch.Source, watch.Log, watch.Dial = c.Source(membership.Spec{Name: "discovery", Rank: discoveryRank}), log, dial
 	watch.Keep = func(list []byte) { kept.Put(store.Members, list) }
+	watch.Others, watch.Grace = cfg.Settings.Aggregators-1, cfg.Settings.Rules.DrainGrace
+	watch.Draw = rand.New(rand.NewPCG(cfg.Seed, 2)).Float64
 	if len(cfg.Known) > 0 {
 		watch.Remember(cfg.Known)
 	}
@@ -133,6 +136,7 @@
 	clients := &platform.Clients{Core: c, Log: log, Most: most, Busy: cfg.Limits.Sockets / 3,
 		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16, Again: c.Again()}
 	go func() { served <- clients.Serve(ln) }()
+	log.Debug("settings", "raw", string(cfg.Raw))
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 
 	select {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -345,6 +345,7 @@
 // Probed tells how a probe ended.
 func (c *Core) Probed(n *Node, r Result) {
 	c.saw(n, r.Outcome)
+	c.log.Debug("probe ended", "node", n.id, "end", words[r.Outcome])
 	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
 		Report: r.Load}})
 }
@@ -501,6 +502,7 @@
 			return false
 		}
 		a.over, a.end = true, in.end
+		c.log.Debug("attempt ended", "node", a.node.id, "part", a.ID, "end", words[in.end], "took", now.Sub(a.begun))
 		delete(c.attempts, a)
 		a.node.hold(-1)
 		c.saw(a.node, in.end)
@@ -571,6 +573,9 @@
 			}
 		case aggregator.Probe, aggregator.CloseIdle:
 			if n := c.node(a.Replica); n != nil {
+				if a.Kind == aggregator.Probe {
+					c.log.Debug("probe sent", "node", n.id)
+				}
 				orders[n] = append(orders[n], &Order{Probe: a.Kind == aggregator.Probe,
 					CloseIdle: a.Kind == aggregator.CloseIdle})
 			} else if a.Kind == aggregator.Probe {
@@ -599,6 +604,7 @@
 	}
 	p.tries = append(p.tries, a)
 	c.attempts[a] = true
+	c.log.Debug("attempt begun", "node", act.Replica, "part", a.ID, "number", a.number, "after", now.Sub(p.q.taken))
 	if n != nil {
 		n.hold(1)
 	} else {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -13,6 +13,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/textproto"
 	"slices"
@@ -24,10 +25,16 @@
 )
 
 // Discovery says an empty line every 2 s while nothing changes; a watch that is silent for longer than quiet
-// is opened anew, after pause.
+// is opened anew, after a pause.
 const (
 	quiet = 5 * time.Second
-	pause = 200 * time.Millisecond
+	// A list costs discovery work for each line and each coordinator that calls for it. In lineTime it has surely
+	// done a line's.
+	lineTime = time.Millisecond
+	// The pause before a further call is drawn from the time that all coordinators' calls take, but from leastPause
+	// at least. It doubles with each call that brings nothing, up to mostPause or twice the first, whichever is longer.
+	leastPause = 400 * time.Millisecond
+	mostPause  = time.Second
 )
 
 // Watch follows the list of data nodes. Its exported fields are set before Run.
@@ -36,6 +43,9 @@
 	Log    *slog.Logger
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Keep   func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
+	Others int               // coordinators that call for the list beside this one
+	Draw   func() float64    // from 0 to 1, not the same in each coordinator
+	Grace  time.Duration     // within which a drain that is listed must be heard of
 
 	moves   chan string
 	addr    string
@@ -43,11 +53,34 @@
 	listed  bool                       // a list was told, or remembered
 	moved   bool                       // and not by the address in use
 	away    bool                       // the last try failed, and was logged
+	vain    int                        // calls in a row that brought nothing
 	entries map[string]json.RawMessage // by id
 }
 
 // NewWatch returns a watch on discovery at addr.
-func NewWatch(addr string) *Watch { return &Watch{addr: addr, moves: make(chan string)} }
+func NewWatch(addr string) *Watch {
+	return &Watch{addr: addr, moves: make(chan string), Draw: rand.Float64}
+}
+
+// crowd is how long discovery may take for the lists of all coordinators, one after the other. Calls that start
+// together are spread over it: else most wait until they are given up, are made again together, and none is served.
+func (w *Watch) crowd() time.Duration {
+	return time.Duration((w.Others+1)*len(w.entries)) * lineTime
+}
+
+// first is how long the first call is put off: not past the grace, as what is listed may be a drain that the list in
+// hand does not know of. Where no list is held it can't wait.
+func (w *Watch) first() time.Duration {
+	return time.Duration(w.Draw() * float64(min(w.crowd(), w.Grace/2)))
+}
+
+// pause is how long to wait before the next call, once one has ended.
+func (w *Watch) pause() time.Duration {
+	span := max(w.crowd(), leastPause)
+	span = min(span<<min(w.vain, 8), max(2*span, mostPause))
+	w.vain++
+	return time.Duration(w.Draw() * float64(span))
+}
 
 // source is one connection to discovery, or the attempt to open one.
 type source struct {
@@ -143,9 +176,8 @@
 		go w.follow(running, s)
 		return s
 	}
-	now, next := open(), (*source)(nil)
-	again := time.NewTimer(0)
-	<-again.C
+	var now, next *source
+	again := time.NewTimer(w.first())
 	defer again.Stop()
 	for {
 		select {
@@ -181,9 +213,10 @@
 						"cause", t.end)
 				}
 				if w.away = true; next == nil {
-					again.Reset(pause)
+					again.Reset(w.pause())
 				}
 			case t.open:
+				w.vain = 0
 				if w.away {
 					w.Log.Info("watch on discovery is open again", "version", w.version)
 				}
@@ -224,7 +257,10 @@
 
 // follow runs a source until it ends.
 func (w *Watch) follow(ctx context.Context, s *source) {
-	s.tell(ctx, telling{end: w.read(ctx, s)})
+	begun := time.Now()
+	end := w.read(ctx, s)
+	w.Log.Debug("list call ended", "took", time.Since(begun), "target", s.target, "cause", end)
+	s.tell(ctx, telling{end: end})
 }
 
 // read opens a source's connection and tells what it brings, until it ends.
@@ -247,24 +283,30 @@
 		return err
 	}
 	if words := strings.Fields(status); len(words) < 2 || words[1] != "200" {
+		h, _ := in.ReadMIMEHeader()
+		w.Log.Debug("list call refused", "status", status, "header", h)
 		return fmt.Errorf("discovery answered %.100q", status)
 	}
 	header, err := in.ReadMIMEHeader()
 	if err != nil {
 		return err
 	}
-	s.tell(ctx, telling{open: true})
+	w.Log.Debug("list call taken", "target", s.target, "header", header)
 	var body io.Reader = in.R
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
 		body = &chunks{in: in}
 	}
 	lines := bufio.NewReader(body)
-	for {
+	for open := false; ; {
 		nc.SetReadDeadline(time.Now().Add(quiet))
 		line, err := lines.ReadBytes('\n')
 		if err != nil {
 			return err
 		}
+		if !open { // the head alone tells nothing: the call may still wait its turn, and end
+			open = true
+			s.tell(ctx, telling{open: true})
+		}
 		if len(strings.TrimSpace(string(line))) == 0 {
 			continue
 		}
--- /dev/null
+++ b/internal/platform/fleet_test.go
@@ -0,0 +1,107 @@
+package platform
+
+// Many watches on one discovery that can serve few calls at a time, in virtual time.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+	"gullfall/internal/membership"
+)
+
+// overbooked is discovery that lists to one caller at a time. Whoever has waited for longer than patience is cut off,
+// but has taken its turn by then; beyond queue waiting calls, further ones are turned away.
+type overbooked struct {
+	turn          chan struct{}
+	waiting, asks atomic.Int32
+	served        atomic.Int32
+}
+
+const (
+	listTime = 60 * time.Millisecond
+	patience = 2 * time.Second
+	queue    = 40
+)
+
+func (o *overbooked) dial(context.Context, string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	go o.serve(theirs)
+	return ours, nil
+}
+
+func (o *overbooked) serve(nc net.Conn) {
+	defer nc.Close()
+	in := textproto.NewReader(bufio.NewReader(nc))
+	in.ReadLine()
+	if _, err := in.ReadMIMEHeader(); err != nil {
+		return
+	}
+	came := time.Now()
+	o.asks.Add(1)
+	if o.waiting.Add(1) > queue {
+		o.waiting.Add(-1)
+		io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\n\r\n")
+		return
+	}
+	io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	o.turn <- struct{}{}
+	time.Sleep(listTime)
+	<-o.turn
+	o.waiting.Add(-1)
+	if time.Since(came) > patience {
+		return
+	}
+	o.served.Add(1)
+	line := `{"version":42,"servers":[]}` + "\n"
+	for err := error(nil); err == nil; time.Sleep(2 * time.Second) { // then nothing changes
+		_, err = fmt.Fprintf(nc, "%x\r\n%s\r\n", len(line), line)
+		line = "\n"
+	}
+}
+
+// TestListCallsOfAFleet: 80 coordinators that start together, each with the list as it was, all hear of the changes
+// soon, though discovery can't list to all of them within the time that it lets a call wait. Before, 48 were cut off
+// together, asked again together five times a second, and none of them was ever served.
+func TestListCallsOfAFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const coordinators, nodes = 80, 60
+		var known []string
+		for i := range nodes {
+			known = append(known, fmt.Sprintf(`{"id":"s%d","addr":"a%d","cell":0,"state":"SERVING"}`, i, i))
+		}
+		o := &overbooked{turn: make(chan struct{}, 1)}
+		ctx, stop := context.WithCancel(t.Context())
+		log := slog.New(slog.DiscardHandler)
+		set := aggregator.Settings{Cells: 1, Shards: 1, Reach: 1, Classes: []aggregator.Class{{Aim: 1, Deadline: 1}}}
+		for seed := range uint64(coordinators) {
+			c, err := core.New(set, seed, log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := NewWatch("d")
+			w.Source, w.Log, w.Dial = c.Source(membership.Spec{Name: "discovery"}), log, o.dial
+			w.Others, w.Grace, w.Draw = coordinators-1, 2*time.Second, rand.New(rand.NewPCG(seed, 1)).Float64
+			w.Remember([]byte(`{"version":41,"servers":[` + strings.Join(known, ",") + `]}`))
+			go w.Run(ctx)
+		}
+		time.Sleep(20 * time.Second)
+		if served, asks := o.served.Load(), o.asks.Load(); served != coordinators || asks > 3*coordinators {
+			t.Errorf("%d of %d coordinators were served; %d calls", served, coordinators, asks)
+		}
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -310,6 +310,7 @@
 		c.nc = nc
 		c.l.mu.Unlock()
 	}
+	c.l.Log.Debug("connection opened", "node", c.l.node.ID(), "held", len(c.l.conns), "cause", err)
 	return nc, err
 }
 
