Cold data nodes: a small share accrues; what was heard holds until the next answer

Two causes, both in policy.go: - coldRoom let each of 80 coordinators send one part by a die in some windows of 1.5 s; a window in which it was not asked (about half) was lost, and further parts of the query went elsewhere as a call of their own. - faded (state.go) let go of what was seen of a replica within the longest aim, 0.63 s. A coordinator of 80 hears a replica every 1.4 s, so it forgot a slow one before it next chose, and sent 60 to 100 parts a second to data nodes at 1/8 of their speed, all of which it gave up. Ejections ended as soon.

Change: a share below a part accrues for two falling windows, pays later for what is sent ahead, and is spent in whole calls where the fleet's room holds eight of them; larger shares stay as they were. Memory of a replica and ejections last three times the usual time between two answers of one replica, or the longest aim.

--- a/aggregator/fleet_test.go
+++ b/aggregator/fleet_test.go
@@ -58,3 +58,94 @@
 		t.Errorf("%d probes after %d lost parts; %d replicas ejected though all answer", probes, nodes, barred)
 	}
 }
+
+// coldFleet steps eighty nodes that share three replicas of a shard, one of them just started, for ten falling windows.
+// Each asks now and then, or all at once as together says. It returns the work sent to the cold replica in each window,
+// as a share of what it may be sent, and the parts of a call there.
+func coldFleet(t *testing.T, together bool) (shares []float64, perCall float64) {
+	const nodes, part = 80, 20 * ms
+	set := testSettings()
+	set.Cells, set.Shards, set.Reach, set.Aggregators = 1, 2, 1, nodes
+	set.Limits.Bundle, set.CallCost = 8, 4*ms
+	set.Rules.WarmAfter = 20 * time.Second
+	var fleet []*bench
+	for seed := range uint64(nodes) {
+		b := newBench(t, set)
+		b.agg, _ = New(set, seed)
+		b.step(Event{Kind: ListRemembered, Members: []Member{{Replica: "a"}, {Replica: "b"}}})
+		for i := range 5 { // it learns how long a part takes
+			b.step(asks(fmt.Sprint("first", i), 3*time.Second, 0)...)
+			b.now += part
+			b.step(ended(fmt.Sprint("first", i, "/0"), 0, OK))
+		}
+		b.step(Event{Kind: ListChanged, Members: []Member{{Replica: "cold", Started: b.now}}})
+		fleet = append(fleet, b)
+	}
+	start := fleet[0].now
+	parts, calls := 0, 0
+	sent := make([]float64, 10)
+	for step := range int(10*set.Rules.FallWindow/ms) / 100 {
+		for i, b := range fleet {
+			b.now = start + time.Duration(step)*100*ms
+			if asks := (step+i)%10 == 0; !together && !asks || together && step%10 != 0 {
+				continue
+			}
+			acts := b.step(asks(fmt.Sprint("q", step), 3*time.Second, 0, 1)...)
+			called := false
+			b.now += part
+			for _, s := range only(acts, Send) {
+				if s.Replica == "cold" {
+					sent[time.Duration(step)*100*ms/set.Rules.FallWindow] += part.Seconds()
+					parts, called = parts+1, true
+				}
+				b.step(ended(s.Part, b.n[s.Part]-1, OK))
+			}
+			if called {
+				calls++
+			}
+		}
+	}
+	for i, work := range sent {
+		from := float64(i) * set.Rules.FallWindow.Seconds() / set.Rules.WarmAfter.Seconds()
+		capacity := set.Rules.ColdShare + (1-set.Rules.ColdShare)*from
+		shares = append(shares, work/(set.Rules.FallMultiple*capacity*set.Rules.FallWindow.Seconds()))
+	}
+	return shares, float64(parts) / float64(max(calls, 1))
+}
+
+// TestColdReplicaOfAFleet: a replica that has just started gets its share of the traffic from the start, though each of
+// eighty nodes may send it a part in some windows only, and whole calls where these are few enough. It is never pushed
+// over, also where all nodes are asked in the same moment.
+func TestColdReplicaOfAFleet(t *testing.T) {
+	for _, together := range []bool{false, true} {
+		shares, perCall := coldFleet(t, together)
+		sum := 0.0
+		for i, s := range shares {
+			if s > 1 {
+				t.Errorf("together %v: window %d: %.2f of what it stands", together, i, s)
+			}
+			sum += s
+		}
+		if mean := sum / float64(len(shares)); mean < 0.4 || perCall < 1.5 {
+			t.Errorf("together %v: on average %.2f of what it may be sent, in calls of %.1f parts", together, mean, perCall)
+		}
+		t.Logf("together %v: %.2f, %.2f parts a call", together, shares, perCall)
+	}
+}
+
+// TestSeldomHeard: a node with a small share of the traffic hears a replica every few aims only. What it has seen of a
+// slow one must hold until then.
+func TestSeldomHeard(t *testing.T) {
+	set := testSettings()
+	f := newFleet(t, set, func(r string) (Outcome, time.Duration) {
+		if r == "a" {
+			return OK, 300 * ms
+		}
+		return OK, 20 * ms
+	})
+	f.run(20*time.Second, 2*time.Second) // each is heard every 6 s
+	f.run(180*time.Second, 2*time.Second)
+	if got := f.got["a"]; got > 15 {
+		t.Errorf("the slow replica of three got %d of 90 parts", got)
+	}
+}
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -37,6 +37,9 @@
 	farTimes     = 1.5   // a tie counts a replica of another zone as slower by this
 	shunTimes    = 2.0   // median latencies that a full replica is left alone
 	coldUse      = 0.8   // share of the falling multiple that is used
+	coldCalls    = 8.0   // calls of all nodes in a falling window among which chance evens out
+	heardTimes   = 3.0   // times between two answers of a replica for which what was heard of it holds
+	gapWeight    = 0.01  // of a new sample in that time
 	joinShare    = 0.25  // a shared call may fill this share of the time to the aim
 	probesFew    = 3.0   // nodes up to which each earns them in full: of more, all see the same signs
 	probesEarned = 12.0  // by each bad sign, spent by probing holders before a part
@@ -346,6 +349,10 @@
 		a.deadIdle(r.hushed)
 	}
 	r.hushed, r.used, r.passed = 0, a.now, max(r.passed, t.at)
+	if r.heard > 0 && r.heard < t.at {
+		a.gaps++
+		a.gap += times(math.Max(gapWeight, 1/float64(a.gaps)), a.now-r.heard-a.gap)
+	}
 	a.heard, r.heard, r.doubted = a.now, a.now, 0
 	r.strikes *= strikeFade
 	a.learn(t, took)
@@ -400,7 +407,7 @@
 // failure doubling the pause.
 func (a *Aggregator) eject(r *replica) {
 	r.ejected, r.cleared = true, false
-	r.backoff = min(max(2*r.backoff, a.longAim()/2), 4*a.longAim())
+	r.backoff = min(max(2*r.backoff, a.memory()/2), 4*a.memory())
 	r.until = a.now + r.backoff
 }
 
@@ -904,26 +911,36 @@
 	return !r.cold || a.coldRoom(p, r)
 }
 
-// coldRoom presumes one unit of work at a time, the slowest ramp and the other front nodes sending as much.
-// Where a node's share is less than a part, parts are rationed by chance: a die thrown anew each falling
-// window lets through the share on average, so many nodes together use the room and stay within it.
+// coldRoom presumes one unit of work at a time, the slowest ramp and the other front nodes sending as much. Where
+// a node's share is less than a part, it accrues and may be saved up for two falling windows. Calls are then
+// rationed by chance: a die thrown anew with each one, and each window, says how much of it must have accrued, so
+// that nodes don't send in step, and what is sent ahead is paid later. A call may hold more parts as long as the
+// room of all nodes holds many such.
 func (a *Aggregator) coldRoom(p *part, r *replica) bool {
 	b := a.set.Rules
 	if b.FallMultiple == 0 || b.FallWindow == 0 {
 		return true
 	}
-	sum := 0.0
+	grown := min(1, max(0, (a.now-r.born).Seconds()/math.Max(b.WarmAfter.Seconds(), 1e-3)))
+	all := coldUse * b.FallMultiple * (b.ColdShare + (1-b.ColdShare)*grown) * b.FallWindow.Seconds()
+	room, work := all/float64(a.set.Aggregators), a.workOf(p)
 	r.sent = slices.DeleteFunc(r.sent, func(l load) bool { return l.at < a.now-b.FallWindow })
+	sum := 0.0
 	for _, l := range r.sent {
 		sum += l.work
 	}
-	if a.now >= r.thrown+b.FallWindow {
+	if r.accrued < r.born {
+		r.accrued, r.room = r.born, 0
+	}
+	r.room = math.Min(r.room+room*(a.now-r.accrued).Seconds()/b.FallWindow.Seconds(), 2*room)
+	if r.accrued = a.now; a.now >= r.thrown+b.FallWindow {
 		r.thrown, r.die = a.now, a.rng.Float64()
 	}
-	grown := min(1, max(0, (a.now-r.born).Seconds()/math.Max(b.WarmAfter.Seconds(), 1e-3)))
-	capacity := b.ColdShare + (1-b.ColdShare)*grown
-	room := coldUse * b.FallMultiple * capacity * b.FallWindow.Seconds() / float64(a.set.Aggregators)
-	return sum+a.workOf(p)*r.die <= room
+	if room < work {
+		most := max(1, int(all/(coldCalls*work)))
+		return a.joins(p, r) && r.call.size < most || r.room >= work*float64(min(most, a.covers(p.q, r)))*r.die
+	}
+	return sum+work*r.die <= room
 }
 
 // workOf is the work a part is expected to bring, its call included.
@@ -982,7 +999,9 @@
 	a.book(p, r, fresh).c.work += a.usual(q)
 	a.note(r, newsSent, times(a.workOf(p), time.Second))
 	if r.cold {
+		r.room -= a.workOf(p)
 		r.sent = append(r.sent, load{a.now, a.workOf(p)})
+		r.thrown, r.die = a.now, a.rng.Float64()
 	}
 	end := a.useful(q) - 3*a.set.Tick
 	a.out = append(a.out, Action{Kind: Send, Part: p.id, Replica: r.member.Replica,
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -36,7 +36,9 @@
 	call     *call         // the call of the round in hand
 	sent     []load        // while cold, within the falling window
 	thrown   time.Duration // when die was thrown
-	die      float64       // the share of a part that must fit into the room while cold
+	die      float64       // the share of a call that must fit into the room while cold
+	room     float64       // work that this node may send while cold; below 0 what it has sent ahead
+	accrued  time.Duration // until when room was counted
 	excess   float64       // recent latency above the class's base, seconds
 	pace     float64       // seconds a call takes for each of ours that is out
 	answers  int
@@ -179,6 +181,8 @@
 	lag      time.Duration // how late this turn came
 	stall    time.Duration // longest standstill of this node lately
 	stalled  time.Duration // and when the last one ended
+	gap      time.Duration // usual time between two answers of one replica
+	gaps     int           // of which so many were seen
 }
 
 // quantile follows one quantile of a stream by small steps in proportion to its value.
@@ -495,7 +499,13 @@
 // is heard.
 func (a *Aggregator) faded(r *replica) float64 {
 	pool := a.fade(a.pool)
-	return pool + (r.excess-pool)*math.Exp(-(a.now-r.sampled).Seconds()/a.longAim().Seconds())
+	return pool + (r.excess-pool)*math.Exp(-(a.now-r.sampled).Seconds()/a.memory().Seconds())
+}
+
+// memory is how long what was heard of a replica holds: the longest aim, or where this node's share of the traffic is
+// so small that it hears a replica more seldom, a few times the usual time between two answers.
+func (a *Aggregator) memory() time.Duration {
+	return max(a.longAim(), times(heardTimes, a.gap))
 }
 
 // others is the work that other nodes were heard to have sent to r, as far as it may still be there.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -502,7 +502,7 @@
 			return false
 		}
 		a.over, a.end = true, in.end
-		c.log.Debug("attempt ended", "node", a.node.id, "part", a.ID, "end", words[in.end], "took", now.Sub(a.begun))
+		c.log.Debug("attempt ended", "node", a.node.id, "part", a.ID, "end", words[in.end], "load", in.event.Report["util"], "took", now.Sub(a.begun))
 		delete(c.attempts, a)
 		a.node.hold(-1)
 		c.saw(a.node, in.end)
@@ -638,6 +638,8 @@
 		return
 	}
 	q.over = true
+	c.log.Debug("query ended", "query", q.ID, "class", q.Class, "verdict", answer.Verdict, "whole", answer.Whole,
+		"parts", len(q.parts), "took", time.Since(q.taken))
 	delete(c.queries, q.ID)
 	c.free(q) // first: whoever has the answer finds nothing held
 	q.reply <- answer
