Partly answered queries leave out parts whose holders are all pressed

At fault: admit in policy.go let in all parts of a query or none.

Change: at admission a query that may be answered in part leaves out the parts whose best holder is expected to take six times the usual, slowest first, keeping half of what may be missing. It is answered as soon as the rest is in.

--- a/aggregator/fleet_test.go
+++ b/aggregator/fleet_test.go
@@ -149,3 +149,36 @@
 		t.Errorf("the slow replica of three got %d of 90 parts", got)
 	}
 }
+
+// TestPressedPartIsSpared: where all holders of a shard are slow, a query that can be answered in part does without its
+// part and is answered as soon as the rest is in. One that needs all its parts sends it, and so do both where none is slow.
+func TestPressedPartIsSpared(t *testing.T) {
+	for _, c := range []struct {
+		floor float64
+		slow  bool
+		parts int
+		whole bool
+	}{{0.5, true, 3, false}, {0.5, false, 4, true}, {1, true, 4, true}} {
+		set, all := wide(4, 1, 1)
+		set.Limits.Probes = false
+		set.Classes[0].Floor, set.Classes[0].Partial = c.floor, 0.9
+		b := newBench(t, set, all...)
+		for i := range 20 { // one shard each, the last of which is slow
+			b.step(asks(fmt.Sprint(i), 3*time.Second, i%4)...)
+			if b.now += 20 * ms; i%4 == 3 && c.slow {
+				b.now += 400 * ms
+			}
+			b.step(ended(fmt.Sprint(i, "/0"), 0, OK))
+		}
+		sent := only(b.step(asks("q", 3*time.Second, 0, 1, 2, 3)...), Send)
+		b.now += 20 * ms
+		var in []Event
+		for _, s := range sent {
+			in = append(in, ended(s.Part, 0, OK))
+		}
+		answers := only(b.step(in...), Answer)
+		if len(sent) != c.parts || len(answers) != 1 || answers[0].Whole != c.whole {
+			t.Errorf("floor %.1f, slow %v: %d parts sent, want %d; answers %+v", c.floor, c.slow, len(sent), c.parts, answers)
+		}
+	}
+}
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -34,6 +34,7 @@
 	lastShare    = 0.125 // share of a query's parts: so few are worth a second copy on suspicion
 	lateLeast    = 0.25  // late worth under which a query ends at its aim
 	pressShare   = 0.3   // share of the aim in the forecast above which a shard is pressed
+	spareTimes   = 6.0   // usual latencies in the forecast above which an answer does without a part
 	farTimes     = 1.5   // a tie counts a replica of another zone as slower by this
 	shunTimes    = 2.0   // median latencies that a full replica is left alone
 	coldUse      = 0.8   // share of the falling multiple that is used
@@ -672,7 +673,27 @@
 	if m := float64(a.set.Limits.MaxOpen); m > 0 && float64(a.open()) > m*(roomShare+(1-roomShare)*rank) {
 		return false
 	}
-	return wait <= (admitLow+(admitHigh-admitLow)*rank)*(q.aim-a.now).Seconds()
+	if wait > (admitLow+(admitHigh-admitLow)*rank)*(q.aim-a.now).Seconds() {
+		return false
+	}
+	a.spare(q, soonest)
+	return true
+}
+
+// spare leaves out at once the parts that an answer can do without and whose holders are all pressed, the
+// slowest first. They would come late or not at all, and take what queries need that must have all their
+// parts. Half of what may be missing is kept for parts that fail.
+func (a *Aggregator) spare(q *query, soonest []*part) {
+	c, rest := &a.set.Classes[q.class], 1.0
+	if c.Partial == 0 || c.Fetch > 0 {
+		return
+	}
+	for _, p := range slices.Backward(soonest) {
+		if p.wait < spareTimes*a.usual(q) || rest-p.weight < (c.Floor+c.Need)/2 {
+			return
+		}
+		p.lost, rest = true, rest-p.weight
+	}
 }
 
 // forecast is how long a part may take at the best holder, an ejected one only where there is no other.
@@ -911,11 +932,11 @@
 	return !r.cold || a.coldRoom(p, r)
 }
 
-// coldRoom presumes one unit of work at a time, the slowest ramp and the other front nodes sending as much. Where
-// a node's share is less than a part, it accrues and may be saved up for two falling windows. Calls are then
-// rationed by chance: a die thrown anew with each one, and each window, says how much of it must have accrued, so
-// that nodes don't send in step, and what is sent ahead is paid later. A call may hold more parts as long as the
-// room of all nodes holds many such.
+// coldRoom presumes one unit of work at a time, the slowest ramp and the other front nodes sending as much.
+// Where a node's share is less than a part, it accrues and may be saved up for two falling windows. Calls are
+// then rationed by chance: a die thrown anew with each one, and each window, says how much of it must have
+// accrued, so that nodes don't send in step, and what is sent ahead is paid later. A call may hold more parts
+// as long as the room of all nodes holds many such.
 func (a *Aggregator) coldRoom(p *part, r *replica) bool {
 	b := a.set.Rules
 	if b.FallMultiple == 0 || b.FallWindow == 0 {
