Few coordinators leave out parts only beyond half the aim

Three coordinators see a short standstill of a data node at once and forecast six times the usual, but its parts come well within the aim; one of 80 hears of a jam late, and a high figure means that the set is pressed. At fault: the one threshold in spare (policy.go).

Change: the part of what there is to see that a coordinator sees itself (all up to three of them) sets how much of half the aim must be forecast as well; the same figure now scales probes.

Benchmarks of a step and of a list update.

--- /dev/null
+++ b/aggregator/bench_test.go
@@ -0,0 +1,74 @@
+package aggregator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var sizes = []int{16, 60, 1000}
+
+// loaded is an aggregator of a fleet of n replicas, three for each shard, that has heard each of them.
+func loaded(b *testing.B, n int) (*Aggregator, time.Duration) {
+	set := testSettings()
+	set.Cells, set.Shards, set.Reach, set.Aggregators = max(n/3, 1), 4*max(n/3, 1), 1, 80
+	set.Limits.Bundle, set.CallCost = 8, 4*ms
+	a, err := New(set, 7)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var all []Member
+	for i := range n {
+		all = append(all, Member{Replica: fmt.Sprint("r", i), Cell: i % set.Cells})
+	}
+	now := 100 * time.Second
+	a.Step(now, []Event{{Kind: ListRemembered, Members: all}}, nil)
+	for i := range n {
+		now += 10 * ms
+		a.Step(now, asks(fmt.Sprint("first", i), 3*time.Second, i%set.Shards), nil)
+		a.Step(now+20*ms, []Event{ended(fmt.Sprint("first", i, "/0"), 0, OK)}, nil)
+	}
+	return a, now
+}
+
+// BenchmarkStep: a query of twelve parts, from its arrival to its answer, in two steps.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+			a, now := loaded(b, n)
+			var out []Action
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint("q", i)
+				now += 20 * ms
+				shards := make([]int, 12)
+				for j := range shards {
+					shards[j] = (i + j) % a.set.Shards
+				}
+				out = a.Step(now, asks(id, 3*time.Second, shards...), out[:0])
+				var in []Event
+				for _, s := range out {
+					if s.Kind == Send {
+						in = append(in, ended(s.Part, 0, OK))
+					}
+				}
+				now += 20 * ms
+				out = a.Step(now, in, out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkList: one entry of the list changes.
+func BenchmarkList(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+			a, now := loaded(b, n)
+			var out []Action
+			for i := 0; b.Loop(); i++ {
+				now += ms
+				m := Member{Replica: fmt.Sprint("r", i%n), Cell: i % n % a.set.Cells, State: State(i / n % 2)}
+				out = a.Step(now, []Event{{Kind: ListChanged, Members: []Member{m}}}, out[:0])
+			}
+		})
+	}
+}
--- a/aggregator/fleet_test.go
+++ b/aggregator/fleet_test.go
@@ -151,15 +151,17 @@
 }
 
 // TestPressedPartIsSpared: where all holders of a shard are slow, a query that can be answered in part does without its
-// part and is answered as soon as the rest is in. One that needs all its parts sends it, and so do both where none is slow.
+// part and is answered as soon as the rest is in. One that needs all its parts sends it, and so do both where none is slow, or
+// where three nodes know the load and expect the part within the aim.
 func TestPressedPartIsSpared(t *testing.T) {
 	for _, c := range []struct {
 		floor float64
 		slow  bool
+		nodes int
 		parts int
 		whole bool
-	}{{0.5, true, 3, false}, {0.5, false, 4, true}, {1, true, 4, true}} {
-		set, all := wide(4, 1, 1)
+	}{{0.5, true, 80, 3, false}, {0.5, false, 80, 4, true}, {1, true, 80, 4, true}, {0.5, true, 3, 4, true}} {
+		set, all := wide(4, 1, c.nodes)
 		set.Limits.Probes = false
 		set.Classes[0].Floor, set.Classes[0].Partial = c.floor, 0.9
 		b := newBench(t, set, all...)
@@ -178,7 +180,7 @@
 		}
 		answers := only(b.step(in...), Answer)
 		if len(sent) != c.parts || len(answers) != 1 || answers[0].Whole != c.whole {
-			t.Errorf("floor %.1f, slow %v: %d parts sent, want %d; answers %+v", c.floor, c.slow, len(sent), c.parts, answers)
+			t.Errorf("floor %.1f, slow %v, %d nodes: %d parts sent, want %d; answers %+v", c.floor, c.slow, c.nodes, len(sent), c.parts, answers)
 		}
 	}
 }
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -42,7 +42,7 @@
 	heardTimes   = 3.0   // times between two answers of a replica for which what was heard of it holds
 	gapWeight    = 0.01  // of a new sample in that time
 	joinShare    = 0.25  // a shared call may fill this share of the time to the aim
-	probesFew    = 3.0   // nodes up to which each earns them in full: of more, all see the same signs
+	fewNodes     = 3.0   // nodes up to which each sees all that there is to see
 	probesEarned = 12.0  // by each bad sign, spent by probing holders before a part
 	silenceSign  = 0.15  // of a reset, as a sign: most silent parts are only slow
 	reapAims     = 8.0   // longest aims for which idle connections found dead are closed before use
@@ -177,10 +177,12 @@
 // warn notes a bad sign: a reset, a failed connect or probe, a silence. It puts the node on guard by
 // earning probes; they run out soon where all of them come back.
 func (a *Aggregator) warn(weight float64) {
-	few := math.Min(1, probesFew/float64(a.set.Aggregators))
-	a.probes = math.Min(a.probes+few*weight*probesEarned, few*float64(len(a.fleet)))
+	a.probes = math.Min(a.probes+a.part()*weight*probesEarned, a.part()*float64(len(a.fleet)))
 }
 
+// part is how much of what there is to see this node sees itself: all where there are few nodes.
+func (a *Aggregator) part() float64 { return math.Min(1, fewNodes/float64(a.set.Aggregators)) }
+
 // fresh is how long what was heard of a replica holds.
 func (a *Aggregator) fresh() time.Duration { return times(freshShare, a.longAim()) }
 
@@ -682,14 +684,16 @@
 
 // spare leaves out at once the parts that an answer can do without and whose holders are all pressed, the
 // slowest first. They would come late or not at all, and take what queries need that must have all their
-// parts. Half of what may be missing is kept for parts that fail.
+// parts. Half of what may be missing is kept for parts that fail. Where few nodes share the load, each knows
+// it from its own parts, and one that is expected within the aim comes; of many, each hears of a jam late.
 func (a *Aggregator) spare(q *query, soonest []*part) {
 	c, rest := &a.set.Classes[q.class], 1.0
 	if c.Partial == 0 || c.Fetch > 0 {
 		return
 	}
+	pressed := math.Max(spareTimes*a.usual(q), a.part()*admitLow*(q.aim-a.now).Seconds())
 	for _, p := range slices.Backward(soonest) {
-		if p.wait < spareTimes*a.usual(q) || rest-p.weight < (c.Floor+c.Need)/2 {
+		if p.wait < pressed || rest-p.weight < (c.Floor+c.Need)/2 {
 			return
 		}
 		p.lost, rest = true, rest-p.weight
