Settings: turn down Balancers below 1 and Me out of range, by name

Change: the settings name the key. Where Balancers is missing, one coordinator is presumed as before.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,6 +50,9 @@
 		{`"ConnectTimeoutS":0.25`, `"ConnectTimeoutS":0`, "ConnectTimeoutS"},
 		{`"ClassNeed":[1.0]`, `"ClassNeed":[1.0,1.0]`, "FamilyInfo"},
 		{`"AimS":1`, `"AimS":"x"`, "AimS"},
+		{`"TickS":0.005`, `"TickS":0.005,"Balancers":0`, "Balancers"},
+		{`"TickS":0.005`, `"TickS":0.005,"Balancers":80,"Me":80`, "Me"},
+		{`"TickS":0.005`, `"TickS":0.005,"Balancers":80,"Me":-1`, "Me"},
 		{`"settings"`, `"other"`, "settings"},
 	} {
 		text := strings.Replace(good, c.from, c.to, 1)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,7 +15,8 @@
 // wireSettings mirrors the settings object of the wire; keys it does not name are skipped.
 type wireSettings struct {
 	Az        string
-	Balancers int
+	Balancers *int
+	Me        int
 	TickS     float64
 	Classes   []struct {
 		Name, Effect                                   string
@@ -56,8 +57,19 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return aggregator.Settings{}, fmt.Errorf("Settings: %w", err)
 	}
+	// Shares of cold data nodes, probes and list calls go by the number of coordinators: none is no figure to guess at.
+	balancers := 1
+	if w.Balancers != nil {
+		balancers = *w.Balancers
+	}
+	if balancers < 1 {
+		return aggregator.Settings{}, fmt.Errorf("Settings: Balancers: %d; give the number of coordinators, 1 at least", balancers)
+	}
+	if w.Me < 0 || w.Balancers != nil && w.Me >= balancers {
+		return aggregator.Settings{}, fmt.Errorf("Settings: Me: %d is not within 0 and Balancers - 1 (%d)", w.Me, balancers-1)
+	}
 	s := aggregator.Settings{
-		Zone: w.Az, Aggregators: w.Balancers, Tick: Duration(w.TickS), OverShareWorth: w.OverShareWorth,
+		Zone: w.Az, Aggregators: balancers, Tick: Duration(w.TickS), OverShareWorth: w.OverShareWorth,
 		WorthByWork: w.WorthBy == "work", Cells: w.FamilyInfo.Sets, Shards: w.FamilyInfo.Slabs,
 		Reach: w.FamilyInfo.Width, CallCost: Duration(w.FamilyInfo.CallCostS), WarmKeys: w.FamilyInfo.WarmKeys,
 		LateFailPrice: w.Prices.LateFail, Subscribe: w.Discovery == "subscribe",
