Discovery: bound the pauses of the largest fleets; debug lines without a race

Cause, found by reading the change again: the time over which calls for the list are spread grows with coordinators times lines, so 1,000 coordinators with 10,000 lines would have paused for up to 5.5 hours (crowd in discovery.go). The line on a connection read the link's list without its lock (open in nodes.go).

Change: calls are spread over 10 s at most, pauses 20 s; the lock is held; the three lines are gone. The module's part() is sees(), as part is a type there.

Result: TestPauses fails without the bound. 80 coordinators and 60 lines keep their 4.8 s. The race detector is quiet.

--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -177,11 +177,11 @@
 // warn notes a bad sign: a reset, a failed connect or probe, a silence. It puts the node on guard by
 // earning probes; they run out soon where all of them come back.
 func (a *Aggregator) warn(weight float64) {
-	a.probes = math.Min(a.probes+a.part()*weight*probesEarned, a.part()*float64(len(a.fleet)))
+	a.probes = math.Min(a.probes+a.sees()*weight*probesEarned, a.sees()*float64(len(a.fleet)))
 }
 
-// part is how much of what there is to see this node sees itself: all where there are few nodes.
-func (a *Aggregator) part() float64 { return math.Min(1, fewNodes/float64(a.set.Aggregators)) }
+// sees is how much of what there is to see this node sees itself: all where there are few nodes.
+func (a *Aggregator) sees() float64 { return math.Min(1, fewNodes/float64(a.set.Aggregators)) }
 
 // fresh is how long what was heard of a replica holds.
 func (a *Aggregator) fresh() time.Duration { return times(freshShare, a.longAim()) }
@@ -691,7 +691,7 @@
 	if c.Partial == 0 || c.Fetch > 0 {
 		return
 	}
-	pressed := math.Max(spareTimes*a.usual(q), a.part()*admitLow*(q.aim-a.now).Seconds())
+	pressed := math.Max(spareTimes*a.usual(q), a.sees()*admitLow*(q.aim-a.now).Seconds())
 	for _, p := range slices.Backward(soonest) {
 		if p.wait < pressed || rest-p.weight < (c.Floor+c.Need)/2 {
 			return
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -136,7 +136,6 @@
 	clients := &platform.Clients{Core: c, Log: log, Most: most, Busy: cfg.Limits.Sockets / 3,
 		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16, Again: c.Again()}
 	go func() { served <- clients.Serve(ln) }()
-	log.Debug("settings", "raw", string(cfg.Raw))
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 
 	select {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -31,6 +31,8 @@
 	// A list costs discovery work for each line and each coordinator that calls for it. In lineTime it has surely
 	// done a line's.
 	lineTime = time.Millisecond
+	// However long that is, a coordinator must hear of changes: calls are spread over mostCrowd at most.
+	mostCrowd = 10 * time.Second
 	// The pause before a further call is drawn from the time that all coordinators' calls take, but from leastPause
 	// at least. It doubles with each call that brings nothing, up to mostPause or twice the first, whichever is longer.
 	leastPause = 400 * time.Millisecond
@@ -65,7 +67,7 @@
 // crowd is how long discovery may take for the lists of all coordinators, one after the other. Calls that start
 // together are spread over it: else most wait until they are given up, are made again together, and none is served.
 func (w *Watch) crowd() time.Duration {
-	return time.Duration((w.Others+1)*len(w.entries)) * lineTime
+	return min(time.Duration((w.Others+1)*len(w.entries))*lineTime, mostCrowd)
 }
 
 // first is how long the first call is put off: not past the grace, as what is listed may be a drain that the list in
@@ -283,15 +285,12 @@
 		return err
 	}
 	if words := strings.Fields(status); len(words) < 2 || words[1] != "200" {
-		h, _ := in.ReadMIMEHeader()
-		w.Log.Debug("list call refused", "status", status, "header", h)
 		return fmt.Errorf("discovery answered %.100q", status)
 	}
 	header, err := in.ReadMIMEHeader()
 	if err != nil {
 		return err
 	}
-	w.Log.Debug("list call taken", "target", s.target, "header", header)
 	var body io.Reader = in.R
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
 		body = &chunks{in: in}
--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,11 +18,42 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"gullfall/aggregator"
 	"gullfall/internal/core"
 	"gullfall/internal/membership"
 )
 
+// TestPauses: pauses between calls for the list double up to a bound, which also the longest list of the largest fleet
+// does not lift.
+func TestPauses(t *testing.T) {
+	for _, c := range []struct {
+		others, lines int
+		want          []time.Duration
+	}{
+		{2, 14, []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, time.Second, time.Second}},
+		{79, 60, []time.Duration{4800 * time.Millisecond, 9600 * time.Millisecond, 9600 * time.Millisecond}},
+		{999, 10_000, []time.Duration{10 * time.Second, 20 * time.Second, 20 * time.Second}},
+	} {
+		w := NewWatch("d")
+		w.Others, w.Grace, w.Draw, w.entries = c.others, 2*time.Second, func() float64 { return 1 }, map[string]json.RawMessage{}
+		for i := range c.lines {
+			w.entries[fmt.Sprint(i)] = nil
+		}
+		if first := w.first(); first > time.Second {
+			t.Errorf("%d coordinators, %d lines: the first call comes after %v", c.others+1, c.lines, first)
+		}
+		var got []time.Duration
+		for range c.want {
+			got = append(got, w.pause())
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%d coordinators, %d lines: (-want +got)\n%s", c.others+1, c.lines, diff)
+		}
+	}
+}
+
 // overbooked is discovery that lists to one caller at a time. Whoever has waited for longer than patience is cut off,
 // but has taken its turn by then; beyond queue waiting calls, further ones are turned away.
 type overbooked struct {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -305,12 +305,13 @@
 	if errors.Is(err, syscall.ECONNRESET) {
 		nc, err = c.l.Dial(ctx, c.l.node.Addr())
 	}
+	c.l.mu.Lock()
+	held := len(c.l.conns)
 	if err == nil {
-		c.l.mu.Lock()
 		c.nc = nc
-		c.l.mu.Unlock()
 	}
-	c.l.Log.Debug("connection opened", "node", c.l.node.ID(), "held", len(c.l.conns), "cause", err)
+	c.l.mu.Unlock()
+	c.l.Log.Debug("connection opened", "node", c.l.node.ID(), "held", held, "cause", err)
 	return nc, err
 }
 
