Cold data nodes: a fleet that has saved up its shares does not push one over

Cause, found by reading the change again: what 80 coordinators had saved up for two windows could go out in the same moment, as after a release, when all come back together and a cold data node is the only holder left. Stepped together, the module sent 1.8 times what a data node of one unit of work stands (coldRoom in policy.go); the platform's have two cores, which hid it, but that is told nowhere.

Change: the die counts one window's share at most, whatever was saved; saving then only fills pauses.

Checked: without it TestColdReplicaAfterAPause gives 1.11, 1.81 and 1.83. Saving for three or four windows reaches 1.05 and 1.13.

Result: all windows within 1.0.

--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -939,8 +939,9 @@
 // coldRoom presumes one unit of work at a time, the slowest ramp and the other front nodes sending as much.
 // Where a node's share is less than a part, it accrues and may be saved up for two falling windows. Calls are
 // then rationed by chance: a die thrown anew with each one, and each window, says how much of it must have
-// accrued, so that nodes don't send in step, and what is sent ahead is paid later. A call may hold more parts
-// as long as the room of all nodes holds many such.
+// accrued, so that nodes don't send in step, and what is sent ahead is paid later. The die counts one
+// window's share at most: all nodes may have saved when all are asked at once. A call may hold more
+// parts as long as the room of all nodes holds many such.
 func (a *Aggregator) coldRoom(p *part, r *replica) bool {
 	b := a.set.Rules
 	if b.FallMultiple == 0 || b.FallWindow == 0 {
@@ -963,7 +964,8 @@
 	}
 	if room < work {
 		most := max(1, int(all/(coldCalls*work)))
-		return a.joins(p, r) && r.call.size < most || r.room >= work*float64(min(most, a.covers(p.q, r)))*r.die
+		return a.joins(p, r) && r.call.size < most ||
+			math.Min(r.room, room) >= work*float64(min(most, a.covers(p.q, r)))*r.die
 	}
 	return sum+work*r.die <= room
 }
