Zones: a verdict per zone from correlated evidence, and a paced, staggered return

Change: internal/zones, a decision package without I/O, clock, goroutine or log. A zone is suspect when at least two of its data nodes fail within the window, its share of failing ones is at least 0.34 and 0.3 above the other zones'; doubtful clears under 0.2 (hysteresis); it is left when 0.6 fail for 500 ms. A guard keeps half of the data nodes outside zones that are out, so a site of one zone is never left; when every zone is suspect, no verdict is trusted. A zone returns after quiet and a wait that doubles with each failed return (30 s at most), at a start drawn per coordinator from its seed within 2 s; its data nodes are then cold since the return, so the module's cold bound, already divided among all coordinators, paces the fleet. Drain and undrain by hand.

Tests: table tests of the verdicts (slow node, fleet-wide failure, guard, two zones at once, late list, return, failure while returning), the back-off 1, 2, 4, 8, 8 s of a flapping zone, 300 seeded coordinators whose starts never put more than twice the mean into a tenth of the spread, and a property test of the guard against a naive count.

--- /dev/null
+++ b/internal/zones/zones_test.go
@@ -0,0 +1,312 @@
+package zones
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// site lists n data nodes in each of the named zones, as "zone/i".
+func site(n int, names ...string) map[string]string {
+	m := map[string]string{}
+	for _, z := range names {
+		for i := 0; i < n; i++ {
+			m[fmt.Sprintf("%s/%d", z, i)] = z
+		}
+	}
+	return m
+}
+
+// fail gives bad evidence of the first k data nodes of a zone and good evidence of the rest.
+func fail(tr *Tracker, now time.Time, zone string, k, n int) {
+	for i := 0; i < n; i++ {
+		e := Good
+		if i < k {
+			e = TimedOut
+		}
+		tr.Observe(now, zone, fmt.Sprintf("%s/%d", zone, i), e)
+	}
+}
+
+type step struct {
+	at      time.Duration
+	zone    string
+	failing int // of 4 data nodes; -1 gives no evidence
+}
+
+func verdicts(tr *Tracker, now time.Time) map[string]string {
+	m := map[string]string{}
+	for _, s := range tr.All(now) {
+		m[s.Zone] = s.Verdict.String()
+	}
+	return m
+}
+
+func TestVerdicts(t *testing.T) {
+	cfg := Config{Seed: 7, Spread: time.Millisecond}
+	cases := []struct {
+		name  string
+		zones []string
+		steps []step
+		want  map[string]string
+	}{
+		{"one slow data node is no zone failure", []string{"a", "b", "c"},
+			[]step{{0, "a", 1}, {time.Second, "a", 1}, {2 * time.Second, "a", 1}},
+			map[string]string{"a": "healthy", "b": "healthy", "c": "healthy"}},
+		{"a zone that fails together is left after Confirm", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {300 * time.Millisecond, "a", 4}, {600 * time.Millisecond, "a", 4}},
+			map[string]string{"a": "out", "b": "healthy", "c": "healthy"}},
+		{"not before Confirm", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {300 * time.Millisecond, "a", 4}},
+			map[string]string{"a": "doubtful", "b": "healthy", "c": "healthy"}},
+		{"half failing is doubtful, not out", []string{"a", "b", "c"},
+			[]step{{0, "a", 2}, {time.Second, "a", 2}, {2 * time.Second, "a", 2}},
+			map[string]string{"a": "doubtful", "b": "healthy", "c": "healthy"}},
+		{"a single zone is never left", []string{"a"},
+			[]step{{0, "a", 4}, {time.Second, "a", 4}, {2 * time.Second, "a", 4}},
+			map[string]string{"a": "doubtful"}},
+		{"what fails everywhere alike is no zone's fault", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {0, "b", 3}, {0, "c", 3}, {time.Second, "a", 4}, {time.Second, "b", 3},
+				{time.Second, "c", 3}},
+			map[string]string{"a": "healthy", "b": "healthy", "c": "healthy"}},
+		{"the guard keeps the second of two zones", []string{"a", "b"},
+			[]step{{0, "a", 4}, {time.Second, "a", 4}},
+			map[string]string{"a": "out", "b": "healthy"}},
+		{"two of three zones at once: one is left, the guard keeps the other", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {0, "b", 4}, {time.Second, "a", 4}, {time.Second, "b", 4}},
+			map[string]string{"a": "out", "b": "doubtful", "c": "healthy"}},
+		{"a zone that answers again returns after the wait", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {time.Second, "a", 4}, {2 * time.Second, "a", -1}, {3 * time.Second, "a", -1}},
+			map[string]string{"a": "returning", "b": "healthy", "c": "healthy"}},
+		{"and is healthy after the ramp", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {time.Second, "a", 4}, {3 * time.Second, "a", -1}, {4 * time.Second, "a", -1},
+				{15 * time.Second, "a", -1}},
+			map[string]string{"a": "healthy", "b": "healthy", "c": "healthy"}},
+		{"a failure while returning sends it out again", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {time.Second, "a", 4}, {3 * time.Second, "a", -1}, {4 * time.Second, "a", -1},
+				{5 * time.Second, "a", 1}},
+			map[string]string{"a": "out", "b": "healthy", "c": "healthy"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr, err := New(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tr.List(t0, site(4, c.zones...))
+			for i, s := range c.steps {
+				now := t0.Add(s.at)
+				if s.failing >= 0 {
+					fail(tr, now, s.zone, s.failing, 4)
+				}
+				if i == len(c.steps)-1 || c.steps[i+1].at != s.at {
+					tr.Step(now) // evidence of one moment is taken in before the verdicts
+				}
+			}
+			if d := cmp.Diff(c.want, verdicts(tr, t0.Add(c.steps[len(c.steps)-1].at))); d != "" {
+				t.Errorf("verdicts (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+func TestUsableAndCold(t *testing.T) {
+	tr, _ := New(Config{Spread: time.Millisecond})
+	tr.List(t0, site(4, "a", "b", "c"))
+	for _, at := range []time.Duration{0, time.Second} {
+		fail(tr, t0.Add(at), "a", 4, 4)
+		tr.Step(t0.Add(at))
+	}
+	if tr.Usable("a") || !tr.Usable("b") || !tr.Usable("unknown") {
+		t.Fatalf("usable a, b, unknown: %v %v %v", tr.Usable("a"), tr.Usable("b"), tr.Usable("unknown"))
+	}
+	tr.Step(t0.Add(2500 * time.Millisecond)) // the return is drawn
+	back := t0.Add(3 * time.Second)
+	tr.Step(back)
+	if since, ok := tr.ColdSince("a"); !ok || !since.Equal(back) {
+		t.Fatalf("cold since %v %v, want %v", since, ok, back)
+	}
+	if _, ok := tr.ColdSince("b"); ok {
+		t.Fatal("a healthy zone is not cold")
+	}
+}
+
+func TestDrainByHand(t *testing.T) {
+	tr, _ := New(Config{})
+	tr.List(t0, site(4, "a"))
+	tr.Drain(t0, "a")
+	tr.Step(t0.Add(time.Minute))
+	if tr.Usable("a") {
+		t.Fatal("a zone drained by hand stays out, even as the only one")
+	}
+	if c := tr.Undrain(t0.Add(time.Minute), "a"); c.To != Returning {
+		t.Fatalf("undrained: %+v", c)
+	}
+	if c := tr.Undrain(t0.Add(time.Minute), "b"); c.To != Healthy {
+		t.Fatalf("undrain of a zone never drained: %+v", c)
+	}
+}
+
+func TestListRemovalIsEvidence(t *testing.T) {
+	tr, _ := New(Config{})
+	all := site(4, "a", "b", "c")
+	tr.List(t0, all)
+	without := map[string]string{}
+	for id, z := range all {
+		if z != "a" {
+			without[id] = z
+		}
+	}
+	for _, at := range []time.Duration{0, time.Second} {
+		tr.List(t0.Add(at), without)
+		tr.Step(t0.Add(at))
+	}
+	if tr.Usable("a") {
+		t.Fatalf("a zone removed from the list is left: %+v", tr.All(t0.Add(time.Second)))
+	}
+	// a list that comes late and still names the dead zone clears nothing
+	tr.List(t0.Add(1200*time.Millisecond), all)
+	tr.Step(t0.Add(1200 * time.Millisecond))
+	if tr.Usable("a") {
+		t.Fatal("a late list brought the zone back")
+	}
+}
+
+// A zone that flaps goes out for longer each time, MaxWait at most.
+func TestFlapBacksOff(t *testing.T) {
+	cfg := Config{Spread: time.Millisecond, Wait: time.Second, MaxWait: 8 * time.Second}
+	tr, _ := New(cfg)
+	tr.List(t0, site(4, "a", "b", "c"))
+	now := t0
+	var outs []time.Duration
+	for round := 0; round < 6; round++ {
+		for tr.Usable("a") {
+			fail(tr, now, "a", 4, 4)
+			tr.Step(now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		left := now
+		for !tr.Usable("a") {
+			now = now.Add(100 * time.Millisecond)
+			tr.Step(now)
+		}
+		outs = append(outs, now.Sub(left).Round(time.Second))
+		now = now.Add(100 * time.Millisecond) // fails again within its ramp
+	}
+	want := []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second, 8 * time.Second}
+	if d := cmp.Diff(want, outs); d != "" {
+		t.Errorf("times out (-want +got):\n%s", d)
+	}
+}
+
+// Three hundred coordinators that see the same evidence do not return in step: their starts spread over Spread.
+func TestReturnsDoNotCoincide(t *testing.T) {
+	const fleet, buckets = 300, 10
+	cfg := Config{Spread: 2 * time.Second}
+	var starts []time.Time
+	for seed := uint64(0); seed < fleet; seed++ {
+		cfg.Seed = seed
+		tr, _ := New(cfg)
+		tr.List(t0, site(4, "a", "b", "c"))
+		for _, at := range []time.Duration{0, time.Second} {
+			fail(tr, t0.Add(at), "a", 4, 4)
+			tr.Step(t0.Add(at))
+		}
+		for now := t0.Add(time.Second); ; now = now.Add(10 * time.Millisecond) {
+			tr.Step(now)
+			if since, ok := tr.ColdSince("a"); ok {
+				starts = append(starts, since)
+				break
+			}
+		}
+	}
+	first := starts[0]
+	for _, s := range starts {
+		if s.Before(first) {
+			first = s
+		}
+	}
+	count := make([]int, buckets)
+	for _, s := range starts {
+		count[min(buckets-1, int(s.Sub(first)*buckets/cfg.Spread))]++
+	}
+	for i, c := range count {
+		if c > 2*fleet/buckets {
+			t.Errorf("%d of %d coordinators start their return in tenth %d of the spread: %v", c, fleet, i, count)
+		}
+	}
+}
+
+// Against a naive model: whatever the evidence, a site of one zone is never left, the data nodes outside zones that
+// are out (unless in panic) never fall under Keep by a verdict of the tracker, and a zone with fewer than MinFailing
+// failing data nodes is never left.
+func TestGuardProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		zonesN := rapid.IntRange(1, 4).Draw(rt, "zones")
+		per := rapid.IntRange(1, 6).Draw(rt, "per zone")
+		names := []string{"a", "b", "c", "d"}[:zonesN]
+		tr, _ := New(Config{Seed: rapid.Uint64().Draw(rt, "seed")})
+		tr.List(t0, site(per, names...))
+		now := t0
+		for i := rapid.IntRange(1, 60).Draw(rt, "steps"); i > 0; i-- {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(rt, "gap")) * time.Millisecond)
+			z := rapid.SampledFrom(names).Draw(rt, "zone")
+			fail(tr, now, z, rapid.IntRange(0, per).Draw(rt, "failing"), per)
+			tr.Step(now)
+			out := 0
+			for _, s := range tr.All(now) {
+				if s.Verdict == Out {
+					out += s.Nodes
+				}
+			}
+			total := zonesN * per
+			if zonesN == 1 && out > 0 {
+				rt.Fatalf("the only zone was left")
+			}
+			if float64(total-out)/float64(total) < Defaults.Keep {
+				rt.Fatalf("%d of %d data nodes are in zones that are out", out, total)
+			}
+			if per < Defaults.MinFailing && out > 0 {
+				rt.Fatalf("a zone of %d data nodes was left", per)
+			}
+		}
+	})
+}
+
+func TestCheckNamesTheField(t *testing.T) {
+	for _, c := range []struct {
+		cfg  Config
+		want string
+	}{
+		{Config{Clear: 0.5, Doubt: 0.4}, "zones: Clear (0.5) must be under Doubt (0.4), or a zone flips on one data node"},
+		{Config{Keep: 2}, "zones: Keep is 2; it must be within 0 and 1"},
+		{Config{Wait: -time.Second}, "zones: Wait is -1s; it must not be negative"},
+		{Config{Wait: time.Minute}, "zones: MaxWait (30s) must not be under Wait (1m0s)"},
+	} {
+		err := c.cfg.Check()
+		if err == nil || err.Error() != c.want {
+			t.Errorf("Check(%+v) = %v, want %q", c.cfg, err, c.want)
+		}
+	}
+}
+
+// BenchmarkStep grows with the data nodes that are known: each step looks at each once.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n*3), func(b *testing.B) {
+			tr, _ := New(Config{})
+			tr.List(t0, site(n, "a", "b", "c"))
+			now := t0
+			for i := 0; i < b.N; i++ {
+				now = now.Add(time.Millisecond)
+				tr.Observe(now, "a", fmt.Sprintf("a/%d", i%n), TimedOut)
+				tr.Step(now)
+			}
+		})
+	}
+}
