Core feeds the zones' verdicts and hands a left zone to the module as draining

Change: core passes the ends of attempts and probes (refused or reset, a part given up for its time, an answer) and the serving list to the tracker, takes its verdicts each tick (every 100 ms while any zone is unsettled, never at rest) and hands the data nodes of a zone that is out to the module as draining, and those of a returning zone as started at the return, so the module's cold bound (shared among Balancers) paces them. When zones are off nothing here takes a lock.

--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -92,6 +92,14 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	if deploy.Zones.Enabled {
+		if err := c.WatchZones(deploy.ZoneRules(cfg.Seed)); err != nil {
+			return fmt.Errorf("zones: %w", err)
+		}
+		if err := c.DrainZones(deploy.Zones.Drained); err != nil {
+			return err
+		}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.Run(ctx)
@@ -121,7 +129,7 @@
 			return err
 		}
 	}
-	go reload(ctx, reloads, cfg, watch, second, log)
+	go reload(ctx, reloads, cfg, watch, second, c, log)
 
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -165,7 +173,7 @@
 // nodes still counts then. A faulty one changes nothing. Of our own file the second front's people, keys and limits hold
 // at once, where it was on at the start.
 func reload(ctx context.Context, signals <-chan os.Signal, cfg config.Config, watch *platform.Watch, second *flight.Server,
-	log *slog.Logger) {
+	c *core.Core, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -177,11 +185,14 @@
 			log.Error("configuration not taken; the old one stays", "cause", err)
 			continue
 		}
-		if second != nil {
+		if second != nil || c.Zones() != nil {
 			deploy, err := config.LoadDeploy(config.DeployFile, cfg.Name)
-			if err == nil {
+			if err == nil && second != nil {
 				err = second.Reload(deploy.Flight.People(), deploy.Flight.Keys(), deploy.Flight.Door())
 			}
+			if err == nil && c.Zones() != nil {
+				err = c.DrainZones(deploy.Zones.Drained)
+			}
 			if err != nil {
 				log.Error("configuration not taken; the old one stays", "cause", err)
 				continue
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -109,6 +109,11 @@
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n1\"\naddr = \"127.0.0.1:8300\"", "store.peer"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"x\"", "store.peer[0].addr"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"127.0.0.1:8300\"", ""},
+		{"[zones]\nenabled = true\ndrained = [\"a\"]", ""},
+		{"[zones]\ndrained = [\"a\"]", "zones.drained"},
+		{"[zones]\nenabled = true\nclear = 0.5", "Clear (0.5) must be under Doubt"},
+		{"[zones]\nenabled = true\nwait = \"1m\"", "max_wait"},
+		{"[zones]\nenabled = true\nkeep = 3", "zones: Keep"},
 	} {
 		path := filepath.Join(dir, "deploy.toml")
 		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -19,6 +19,7 @@
 
 	"gullfall/internal/dnssd"
 	"gullfall/internal/membership"
+	"gullfall/internal/zones"
 )
 
 // DeployFile is where the file of ours lies, seen from the repository's root.
@@ -32,6 +33,27 @@
 	Membership Membership
 	Node       []Node
 	Store      Store
+	Zones      Zones
+}
+
+// Zones is how a zone that fails as a whole is left, and how fast work goes back. Each coordinator decides from its
+// own evidence; a figure of 0 takes the default of internal/zones.
+type Zones struct {
+	Enabled    bool
+	Window     Span
+	Doubt      float64
+	Clear      float64
+	Leave      float64
+	Margin     float64
+	MinFailing int `toml:"min_failing"`
+	Confirm    Span
+	Quiet      Span
+	Wait       Span
+	MaxWait    Span `toml:"max_wait"`
+	Spread     Span
+	Ramp       Span
+	Keep       float64
+	Drained    []string // zones left by an operator's word; read again on SIGHUP
 }
 
 // Log is how much is logged, and how.
@@ -204,6 +226,12 @@
 	if err := d.Damping().Check(); err != nil {
 		fault("membership.suppress, membership.reuse: %w", err)
 	}
+	if len(d.Zones.Drained) > 0 && !d.Zones.Enabled {
+		fault("zones.drained: %v: zones are not watched while zones.enabled is false", d.Zones.Drained)
+	}
+	if err := d.ZoneRules(0).Check(); err != nil {
+		fault("%w (keys in lower case, MaxWait as max_wait, MinFailing as min_failing)", err)
+	}
 	seen := map[string]bool{}
 	for i, n := range d.Node {
 		key := fmt.Sprintf("node[%d]", i)
@@ -327,6 +355,15 @@
 		MaxSuppress: time.Duration(m.Longest)}
 }
 
+// ZoneRules are the figures of the zones' verdicts, with this coordinator's seed; they say nothing where zones are off.
+func (d *Deploy) ZoneRules(seed uint64) zones.Config {
+	z := d.Zones
+	return zones.Config{Window: time.Duration(z.Window), Doubt: z.Doubt, Clear: z.Clear, Leave: z.Leave,
+		Margin: z.Margin, MinFailing: z.MinFailing, Confirm: time.Duration(z.Confirm), Quiet: time.Duration(z.Quiet),
+		Wait: time.Duration(z.Wait), MaxWait: time.Duration(z.MaxWait), Spread: time.Duration(z.Spread),
+		Ramp: time.Duration(z.Ramp), Keep: z.Keep, Seed: seed}
+}
+
 // Fixed are the data nodes that the file names.
 func (d *Deploy) Fixed() (list []membership.Record) {
 	for _, n := range d.Node {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -162,6 +162,7 @@
 	table    *membership.Table
 	carriers map[string]Carry // by protocol
 	listed   bool             // some source has told a whole list
+	zones    *zoneWatch       // nil where zones are not watched
 
 	// The loop's own.
 	agg      *aggregator.Aggregator
@@ -345,6 +346,7 @@
 // Probed tells how a probe ended.
 func (c *Core) Probed(n *Node, r Result) {
 	c.saw(n, r.Outcome)
+	c.zoneSaw(n, r.Outcome, aggregator.Unknown)
 	c.log.Debug("probe ended", "node", n.id, "end", words[r.Outcome])
 	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
 		Report: r.Load}})
@@ -400,6 +402,10 @@
 		}
 	}
 	events = append(append(lists, c.lists()...), rest...)
+	zoned, changed, zoneNext := c.zoneStep(now)
+	if changed {
+		events = append([]aggregator.Event{zoned}, events...)
+	}
 	for _, q := range c.queries {
 		if !now.Before(q.Deadline) {
 			// The module ends queries earlier; this is the backstop that no query outlives its client.
@@ -426,6 +432,9 @@
 	if !c.wake.IsZero() && c.wake.Before(next) {
 		next = c.wake
 	}
+	if !zoneNext.IsZero() && zoneNext.Before(next) {
+		next = zoneNext
+	}
 	c.mu.Lock()
 	if due = c.table.Next(); !due.IsZero() && due.Before(next) {
 		next = due
@@ -506,6 +515,7 @@
 		delete(c.attempts, a)
 		a.node.hold(-1)
 		c.saw(a.node, in.end)
+		c.zoneSaw(a.node, in.end, a.why)
 		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
 			in.event.Outcome = a.why
 		}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -180,7 +180,11 @@
 // on to the module: the whole list, where a source has told one, or what has changed.
 func (c *Core) join(full, remembered bool, decide func(now time.Time) membership.Result) {
 	c.mu.Lock()
-	r := decide(time.Now())
+	now := time.Now()
+	r := decide(now)
+	if len(r.Changes) > 0 || full {
+		c.zoneList(now)
+	}
 	event := aggregator.Event{Kind: aggregator.ListChanged}
 	for _, m := range r.Changes {
 		c.apply(m)
@@ -296,7 +300,7 @@
 	if !m.Started.IsZero() {
 		out.Started = max(c.clock(m.Started), time.Nanosecond)
 	}
-	return out
+	return c.zoned(m, out)
 }
 
 // node finds a listed data node.
--- /dev/null
+++ b/internal/core/zones.go
@@ -0,0 +1,202 @@
+package core
+
+// This file owns what core passes to the zones' verdicts and what it makes of them: evidence of attempts, probes and
+// the list goes in; a zone that is out is handed to the module as draining, a returning one as cold since its return
+// began. It must never decide a verdict, nor bar a carrier for a zone's sake: what is out at a data node of a zone
+// that is left ends there under the module's rules.
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/zones"
+)
+
+// zoneTick is how often verdicts are taken while some zone is not healthy or some data node fails: often enough that
+// Confirm and Quiet hold to a tenth of a second, seldom enough to cost nothing at rest.
+const zoneTick = 100 * time.Millisecond
+
+// zoneLogEvery bounds the log lines of one zone: a zone that flaps is told once a second at most, with the changes
+// that were not told.
+const zoneLogEvery = time.Second
+
+// zoneWatch is core's part of the zones' verdicts. Its fields are guarded by Core.mu; Core.zones itself is set before
+// Run and never after, so that where zones are not watched nothing here takes the lock.
+type zoneWatch struct {
+	t       *zones.Tracker
+	told    map[string]time.Time // when a change of the zone was last logged
+	untold  map[string]int
+	settled bool
+}
+
+// WatchZones lets zones that fail as a whole be left and returned to at a pace. It is called before Run; without it
+// each data node is judged alone, as on the platform.
+func (c *Core) WatchZones(cfg zones.Config) error {
+	t, err := zones.New(cfg)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones = &zoneWatch{t: t, told: map[string]time.Time{}, untold: map[string]int{}}
+	return nil
+}
+
+// Zones gives the verdicts of all zones; nil where zones are not watched.
+func (c *Core) Zones() []zones.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.zones == nil {
+		return nil
+	}
+	return c.zones.t.All(time.Now())
+}
+
+// DrainZones makes the zones drained by an operator's word exactly those named: they are left whatever the guard
+// says, and those drained before that are no longer named return at a pace.
+func (c *Core) DrainZones(names []string) error {
+	c.mu.Lock()
+	if c.zones == nil {
+		c.mu.Unlock()
+		if len(names) == 0 {
+			return nil
+		}
+		return fmt.Errorf("zones.drained: %v: zones are not watched; set zones.enabled in the deploy file", names)
+	}
+	now := time.Now()
+	named := map[string]bool{}
+	var changes []zones.Change
+	for _, z := range names {
+		named[z] = true
+	}
+	for _, s := range c.zones.t.All(now) {
+		if s.Drained && !named[s.Zone] {
+			changes = append(changes, c.zones.t.Undrain(now, s.Zone))
+		}
+	}
+	for _, z := range names {
+		if !c.zones.t.Drained(z) {
+			changes = append(changes, c.zones.t.Drain(now, z))
+		}
+	}
+	if len(changes) > 0 {
+		c.inbox = append(c.inbox, input{event: c.zoneMembers(changes)})
+	}
+	c.mu.Unlock()
+	for _, ch := range changes {
+		c.log.Warn("zone "+ch.To.String(), "zone", ch.Zone, "was", ch.From.String(), "why", ch.Reason)
+	}
+	c.wakeUp()
+	return nil
+}
+
+var zoneEvidence = map[Outcome]zones.Evidence{Served: zones.Good, Errored: zones.Good, NotConnected: zones.Refused,
+	Reset: zones.Refused}
+
+// zoneSaw passes on what the end of an attempt or a probe says of a data node's zone. An attempt given up because its
+// time ran out is a timeout; one given up for another reason says nothing. The caller holds no lock.
+func (c *Core) zoneSaw(n *Node, end Outcome, why aggregator.Outcome) {
+	e, known := zoneEvidence[end]
+	if end == Dropped && why == aggregator.TimedOut {
+		e, known = zones.TimedOut, true
+	}
+	if !known || c.zones == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones.t.Observe(time.Now(), n.member.Zone, n.id, e)
+}
+
+// zoneList passes on which data nodes serve, by zone; the caller holds the lock.
+func (c *Core) zoneList(now time.Time) {
+	if c.zones == nil {
+		return
+	}
+	serving := map[string]string{}
+	for _, m := range c.table.List() {
+		if m.State == Serving {
+			serving[m.ID] = m.Zone
+		}
+	}
+	c.zones.t.List(now, serving)
+}
+
+// zoneStep takes the verdicts that are due and returns the event that hands the module what changed, and when the
+// verdicts must be taken again; the caller holds no lock.
+func (c *Core) zoneStep(now time.Time) (event aggregator.Event, changed bool, next time.Time) {
+	if c.zones == nil {
+		return event, false, time.Time{}
+	}
+	c.mu.Lock()
+	changes := c.zones.t.Step(now)
+	if len(changes) > 0 {
+		event, changed = c.zoneMembers(changes), true
+	}
+	var lines []zones.Change
+	for _, ch := range changes {
+		if now.Sub(c.zones.told[ch.Zone]) < zoneLogEvery {
+			c.zones.untold[ch.Zone]++
+			continue
+		}
+		c.zones.told[ch.Zone] = now
+		lines = append(lines, ch)
+	}
+	untold := map[string]int{}
+	for _, ch := range lines {
+		untold[ch.Zone] = c.zones.untold[ch.Zone]
+		delete(c.zones.untold, ch.Zone)
+	}
+	settled := true
+	for _, s := range c.zones.t.All(now) {
+		if s.Verdict != zones.Healthy || s.Failing > 0 {
+			settled = false
+		}
+	}
+	c.mu.Unlock()
+	for _, ch := range lines {
+		level := slog.LevelInfo
+		if ch.To == zones.Out {
+			level = slog.LevelWarn
+		}
+		c.log.Log(context.Background(), level, "zone "+ch.To.String(), "zone", ch.Zone, "was", ch.From.String(), "why", ch.Reason,
+			"untold", untold[ch.Zone])
+	}
+	if !settled {
+		next = now.Add(zoneTick)
+	}
+	return event, changed, next
+}
+
+// zoneMembers is the list event that hands the module the data nodes of the zones that changed; the caller holds
+// the lock.
+func (c *Core) zoneMembers(changes []zones.Change) aggregator.Event {
+	of := map[string]bool{}
+	for _, ch := range changes {
+		of[ch.Zone] = true
+	}
+	event := aggregator.Event{Kind: aggregator.ListChanged}
+	for _, m := range c.table.List() {
+		if of[m.Zone] {
+			event.Members = append(event.Members, c.member(m))
+		}
+	}
+	return event
+}
+
+// zoned turns a member's state and start by its zone's verdict; the caller holds the lock.
+func (c *Core) zoned(m Member, out aggregator.Member) aggregator.Member {
+	if c.zones == nil {
+		return out
+	}
+	if out.State == aggregator.On && !c.zones.t.Usable(m.Zone) {
+		out.State = aggregator.Draining
+	}
+	if since, ok := c.zones.t.ColdSince(m.Zone); ok {
+		out.Started = max(out.Started, c.clock(since))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/zones_test.go
@@ -0,0 +1,171 @@
+package core
+
+// A zone that fails as a whole, from the carrier's reports to what the module sends: it is left within Confirm of the
+// evidence, nothing new goes there while it is out, and it is returned to at the pace of a cold data node.
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/membership"
+	"gullfall/internal/zones"
+)
+
+type zoneRun struct {
+	lastDead time.Duration // from the loss of the zone to the last attempt begun there while it was dead
+	afterAll int           // attempts begun at the dead zone from a second after its loss until it answered again
+	returns  int           // returns begun while it was dead, by the log
+	firstSec int           // attempts begun at its busiest data node in the first second of its return
+	answered int
+	asked    int
+}
+
+func playZoneLoss(t *testing.T, watch bool) (run zoneRun, coldMost int) {
+	const work, window = 50 * time.Millisecond, time.Second
+	rules := aggregator.Rules{DrainGrace: 2 * time.Second, FallMultiple: 2, FallWindow: window, ColdShare: 0.3,
+		WarmAfter: 5 * time.Second}
+	coldMost = int(rules.FallMultiple * rules.ColdShare * float64(window/work))
+	synctest.Test(t, func(t *testing.T) {
+		set := aggregator.Settings{Aggregators: 1, Tick: tick, Cells: 4, Shards: 4, Reach: 1, CallCost: time.Millisecond,
+			Rules: rules, Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1,
+				Need: 1, Floor: 1}},
+			Limits: aggregator.Limits{Attempts: 3, Bundle: 8, Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second}}
+		var logged lines
+		c, err := New(set, 7, slog.New(slog.NewTextHandler(&logged, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if watch {
+			if err := c.WatchZones(zones.Config{Seed: 3}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var dead atomic.Bool
+		var mu sync.Mutex
+		start := time.Now()
+		var died, back time.Time
+		perNode := map[string]int{}
+		c.Carrier("", func(n *Node) {
+			for o := n.Pick(context.Background()); o != nil; o = n.Pick(context.Background()) {
+				for _, a := range o.Call {
+					inA := n.ID()[0] == 'a'
+					mu.Lock()
+					now := time.Now()
+					switch {
+					case inA && dead.Load():
+						run.lastDead = now.Sub(died)
+						if now.Sub(died) > time.Second {
+							run.afterAll++
+						}
+					case inA && !back.IsZero() && now.Sub(back) < window:
+						perNode[n.ID()]++
+					}
+					mu.Unlock()
+					if inA && dead.Load() {
+						c.Report(a, Result{Outcome: NotConnected})
+						continue
+					}
+					time.AfterFunc(work, func() { c.Report(a, Result{Outcome: Served, Docs: [][]byte{[]byte("v")}}) })
+				}
+				if o.Drop != nil {
+					c.Report(o.Drop, Result{Outcome: Dropped})
+				}
+			}
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		src := c.Source(membership.Spec{Name: "zones"})
+		var list []Member
+		for _, z := range []string{"a", "b", "c"} {
+			for cell := range 4 {
+				list = append(list, Member{ID: fmt.Sprint(z, cell), Addr: fmt.Sprint(z, cell), Zone: z, Cell: cell,
+					Weight: 1, Started: start.Add(-time.Hour)})
+			}
+		}
+		src.Replace(list, false)
+		var wg sync.WaitGroup
+		var answered atomic.Int64
+		for i := range 600 { // 20 a second for 30 s
+			q := Query{ID: fmt.Sprint("q", i), Class: "report", Deadline: time.Now().Add(2 * time.Second),
+				Parts: []Part{{Shard: i % 4, Weight: 1, Work: work}}}
+			wg.Go(func() {
+				if a, _ := c.Ask(t.Context(), q); a.Verdict == Answered && a.Whole {
+					answered.Add(1)
+				}
+			})
+			switch i {
+			case 100:
+				mu.Lock()
+				died = time.Now()
+				mu.Unlock()
+				dead.Store(true)
+			case 300:
+				dead.Store(false)
+				mu.Lock()
+				back = time.Now().Add(1500 * time.Millisecond) // at the earliest: quiet, wait and draw
+				run.returns = logged.count("msg=\"zone returning\"")
+				mu.Unlock()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		src.Replace(nil, false) // the carriers end
+		time.Sleep(10 * time.Second)
+		stop()
+		for _, n := range perNode {
+			run.firstSec = max(run.firstSec, n)
+		}
+		run.answered, run.asked = int(answered.Load()), 600
+	})
+	return run, coldMost
+}
+
+// lines keeps what was logged, for counting.
+type lines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, string(p))
+	return len(p), nil
+}
+
+func (l *lines) count(sub string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.all {
+		if strings.Contains(s, sub) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestZoneLeftAndReturned(t *testing.T) {
+	off, _ := playZoneLoss(t, false)
+	on, coldMost := playZoneLoss(t, true)
+	t.Logf("judged by data node: %+v", off)
+	t.Logf("judged by zone:      %+v (a cold data node stands %d in its first second)", on, coldMost)
+	// While out nothing goes there; each return that finds the zone still dead costs one attempt a data node at most.
+	if on.afterAll > on.returns*4 || on.afterAll >= off.afterAll {
+		t.Errorf("%d attempts went to the dead zone more than a second after its loss, in %d returns; %d judged by data node",
+			on.afterAll, on.returns, off.afterAll)
+	}
+	if on.firstSec > coldMost {
+		t.Errorf("a returning data node got %d attempts in its first second; a cold one stands %d", on.firstSec, coldMost)
+	}
+	if on.answered < off.answered {
+		t.Errorf("whole answers: %d judged by zone, %d by data node", on.answered, off.answered)
+	}
+}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -282,6 +282,12 @@
 	return t.set(now, z, Out, "drained by hand")
 }
 
+// Drained tells whether a zone is drained by hand.
+func (t *Tracker) Drained(zoneName string) bool {
+	z := t.zones[zoneName]
+	return z != nil && z.drained
+}
+
 // Undrain lets a zone drained by hand return at a pace, at once and without a draw: the operator chose the time.
 func (t *Tracker) Undrain(now time.Time, zoneName string) Change {
 	z := t.zone(zoneName)
