Zones: one data node that fails while its zone returns does not send the zone out

The rule at fault was in the returning case of Tracker.step: any failing data node.

Change: it takes MinFailing data nodes that fail after the return began, the same count that makes a zone suspect; one bad data node stays the per-node handling's, as before the zone was left.

Test: "one bad data node does not keep a zone from returning" fails before (the zone is out) and passes now; the refusing zone of the core test still goes out again at each return that finds it dead.

--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -16,7 +16,7 @@
 //	doubtful    healthy          share under Clear, or fewer than MinFailing fail (hysteresis: Clear < Doubt)
 //	doubtful    out              share at least Leave, Margin above the others, for Confirm, and the guard allows it
 //	out         returning        nothing failed for Quiet, the wait is over, and the coordinator's own draw has passed
-//	returning   out              a data node of the zone fails again; the next wait is twice the last, MaxWait at most
+//	returning   out              MinFailing of its data nodes fail again; the next wait is twice the last, MaxWait at most
 //	returning   healthy          Ramp has passed since the return began
 //
 // Once out, no new part goes to the zone (Usable). A returning zone's data nodes are cold since the return began
@@ -414,15 +414,21 @@
 		}
 		return t.set(now, z, Returning, fmt.Sprintf("quiet for %v after a wait of %v", now.Sub(z.lastBad), z.wait)), true
 	case Returning:
+		again := 0
 		for _, n := range z.nodes {
 			if n.failing(now, cfg.Window) && n.bad.After(z.since) {
-				z.waits++
-				if _, ok := t.guard(z, total); !ok {
-					return t.set(now, z, Doubtful, why("failed again while returning, kept by the guard")), true
-				}
-				return t.leave(now, z, why("failed again while returning")), true
+				again++
 			}
 		}
+		// One data node that fails again is the per-node handling's, as before the zone was left: a zone with one
+		// bad data node must still come back in full.
+		if again >= cfg.MinFailing {
+			z.waits++
+			if _, ok := t.guard(z, total); !ok {
+				return t.set(now, z, Doubtful, why("failed again while returning, kept by the guard")), true
+			}
+			return t.leave(now, z, why("failed again while returning")), true
+		}
 		if now.Sub(z.since) >= cfg.Ramp {
 			return t.set(now, z, Healthy, "returned in full"), true
 		}
