--- a/internal/lab/fleet/coordinator.go
+++ b/internal/lab/fleet/coordinator.go
@@ -77,14 +77,6 @@
 // Pid is the process's id, for figures read from /proc.
 func (c *Coordinator) Pid() int { return c.cmd.Process.Pid }
 
-// Signal sends a signal to this process alone: SIGSTOP and SIGCONT to stall it.
-func (c *Coordinator) Signal(sig syscall.Signal) error {
-	if c.cmd == nil || c.stopped {
-		return errors.New("not running")
-	}
-	return c.cmd.Process.Signal(sig)
-}
-
 // Log is the end of what the program has logged.
 func (c *Coordinator) Log(bytes int) string {
 	raw, _ := os.ReadFile(filepath.Join(c.dir, "gullfall.log"))
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -95,34 +95,26 @@
 
 func (c Config) withDefaults() Config {
 	d := Defaults
-	set := func(v *time.Duration, w time.Duration) {
-		if *v == 0 {
-			*v = w
-		}
-	}
-	setf := func(v *float64, w float64) {
-		if *v == 0 {
-			*v = w
-		}
+	for _, f := range []struct{ v, w *time.Duration }{{&c.Window, &d.Window}, {&c.Confirm, &d.Confirm},
+		{&c.Quiet, &d.Quiet}, {&c.Wait, &d.Wait}, {&c.MaxWait, &d.MaxWait}, {&c.Spread, &d.Spread}, {&c.Ramp, &d.Ramp}} {
+		orDefault(f.v, *f.w)
 	}
-	set(&c.Window, d.Window)
-	set(&c.Confirm, d.Confirm)
-	set(&c.Quiet, d.Quiet)
-	set(&c.Wait, d.Wait)
-	set(&c.MaxWait, d.MaxWait)
-	set(&c.Spread, d.Spread)
-	set(&c.Ramp, d.Ramp)
-	setf(&c.Doubt, d.Doubt)
-	setf(&c.Clear, d.Clear)
-	setf(&c.Leave, d.Leave)
-	setf(&c.Margin, d.Margin)
-	setf(&c.Keep, d.Keep)
-	if c.MinFailing == 0 {
-		c.MinFailing = d.MinFailing
+	for _, f := range []struct{ v, w *float64 }{{&c.Doubt, &d.Doubt}, {&c.Clear, &d.Clear}, {&c.Leave, &d.Leave},
+		{&c.Margin, &d.Margin}, {&c.Keep, &d.Keep}} {
+		orDefault(f.v, *f.w)
 	}
+	orDefault(&c.MinFailing, d.MinFailing)
 	return c
 }
 
+// orDefault sets what is zero to its default.
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
 // Check tells what is wrong with a configuration, by the name of its field, after defaults.
 func (c Config) Check() error {
 	c = c.withDefaults()
