Zones: a silent zone is left; a give-up with nothing heard from the node counts as a timeout

A zone behind a proxy that swallows what it is sent was never told out: gullfall-lab zones now counts how attempts there ended, and all were given up by the module within 0 to 150 ms, far before their own time, so zoneSaw (internal/core/zones.go) saw only cancels and no evidence. Counting give-ups after half the attempt's time changed nothing; counting every give-up would blame nodes whose queries end for other reasons.

Now core keeps, per data node, when it last answered an attempt or a probe; a give-up with nothing heard since the attempt was sent counts as a timeout.

--- a/cmd/gullfall-lab/zones.go
+++ b/cmd/gullfall-lab/zones.go
@@ -31,18 +31,19 @@
 
 // zonePlay is what one play of the day showed.
 type zonePlay struct {
-	Judged        string  `json:"judged"`
-	Coordinators  int     `json:"coordinators"`
-	LeaveMS       float64 `json:"leave_ms"`        // from the fault to the last attempt begun in the zone while it lasted
-	IntoZone      int     `json:"into_zone"`       // attempts begun in the zone while it was away
-	ZoneOut       int     `json:"zone_out"`        // coordinators that logged the zone out
-	Lost          int     `json:"lost"`            // queries that failed or got no answer
-	Asked         int     `json:"asked"`           //
-	Twins         int     `json:"twins"`           // attempts of one part out together
-	FirstSecond   int     `json:"first_second"`    // most parts begun at one returning data node in its first second
-	ColdBound     float64 `json:"cold_bound"`      // what a cold data node is to get in a second, over all coordinators
-	OverColdBound int     `json:"over_cold_bound"` // returning data nodes that got more
-	ReturnMS      float64 `json:"return_ms"`       // from the zone's return until its data nodes have four fifths of their share
+	Judged        string         `json:"judged"`
+	Coordinators  int            `json:"coordinators"`
+	LeaveMS       float64        `json:"leave_ms"`        // from the fault to the last attempt begun in the zone while it lasted
+	IntoZone      int            `json:"into_zone"`       // attempts begun in the zone while it was away
+	ZoneOut       int            `json:"zone_out"`        // coordinators that logged the zone out
+	Lost          int            `json:"lost"`            // queries that failed or got no answer
+	Asked         int            `json:"asked"`           //
+	Twins         int            `json:"twins"`           // attempts of one part out together
+	FirstSecond   int            `json:"first_second"`    // most parts begun at one returning data node in its first second
+	ColdBound     float64        `json:"cold_bound"`      // what a cold data node is to get in a second, over all coordinators
+	OverColdBound int            `json:"over_cold_bound"` // returning data nodes that got more
+	ReturnMS      float64        `json:"return_ms"`       // from the zone's return until its data nodes have four fifths of their share
+	Ends          map[string]int `json:"ends"`            // how attempts in the zone ended while it was away, by end
 }
 
 func (z *zonesCmd) Run() error {
@@ -60,6 +61,7 @@
 	for _, p := range plays {
 		fmt.Printf("%-7s %12d %8.0f %9d %8d %5d %6d %6d %12d %6.1f %10.0f\n", p.Judged, p.Coordinators, p.LeaveMS,
 			p.IntoZone, p.ZoneOut, p.Lost, p.Asked, p.Twins, p.FirstSecond, p.ColdBound, p.ReturnMS)
+		fmt.Printf("        ends in the zone while away: %v\n", p.Ends)
 		bad = bad || p.Twins > 0
 	}
 	if err := writeJSON(z.JSON, map[string]any{"plays": plays, "seed": z.Seed, "fault": z.Fault}); err != nil {
@@ -223,6 +225,23 @@
 			play.IntoZone++
 			play.LeaveMS = max(play.LeaveMS, float64(t.Sub(began).Milliseconds()))
 		}
+		for _, line := range c.Lines(`msg="attempt ended" node=a-`) {
+			stamp, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
+			t, err := time.Parse(time.RFC3339Nano, stamp)
+			if err != nil || t.Before(began) || !t.Before(back.Add(time.Second)) {
+				continue
+			}
+			_, end, _ := strings.Cut(line, " end=")
+			if strings.HasPrefix(end, `"`) {
+				end, _, _ = strings.Cut(end[1:], `"`)
+			} else {
+				end, _, _ = strings.Cut(end, " ")
+			}
+			if play.Ends == nil {
+				play.Ends = map[string]int{}
+			}
+			play.Ends[end]++
+		}
 		if c.Logged(`msg="zone out" zone=a`) > 0 {
 			play.ZoneOut++
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -346,7 +346,7 @@
 // Probed tells how a probe ended.
 func (c *Core) Probed(n *Node, r Result) {
 	c.saw(n, r.Outcome)
-	c.zoneSaw(n, r.Outcome, aggregator.Unknown)
+	c.zoneSaw(n, nil, r.Outcome, time.Now())
 	c.log.Debug("probe ended", "node", n.id, "end", words[r.Outcome])
 	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
 		Report: r.Load}})
@@ -515,7 +515,7 @@
 		delete(c.attempts, a)
 		a.node.hold(-1)
 		c.saw(a.node, in.end)
-		c.zoneSaw(a.node, in.end, a.why)
+		c.zoneSaw(a.node, a, in.end, now)
 		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
 			in.event.Outcome = a.why
 		}
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -29,6 +29,7 @@
 	t       *zones.Tracker
 	told    map[string]time.Time // when a change of the zone was last logged
 	untold  map[string]int       // by zone and verdict
+	heard   map[string]time.Time // by data node: when it last answered an attempt or a probe
 	settled bool
 }
 
@@ -41,7 +42,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.zones = &zoneWatch{t: t, told: map[string]time.Time{}, untold: map[string]int{}}
+	c.zones = &zoneWatch{t: t, told: map[string]time.Time{}, untold: map[string]int{}, heard: map[string]time.Time{}}
 	return nil
 }
 
@@ -97,18 +98,28 @@
 	Reset: zones.Refused}
 
 // zoneSaw passes on what the end of an attempt or a probe says of a data node's zone. An attempt given up because its
-// time ran out is a timeout; one given up for another reason says nothing. The caller holds no lock.
-func (c *Core) zoneSaw(n *Node, end Outcome, why aggregator.Outcome) {
-	e, known := zoneEvidence[end]
-	if end == Dropped && why == aggregator.TimedOut {
-		e, known = zones.TimedOut, true
-	}
-	if !known || c.zones == nil {
+// time ran out is a timeout. So is one that the module gave up when nothing had been heard from the data node since
+// the attempt was sent: a data node that swallows what it is sent never lets an attempt run out, for the module tries
+// the part elsewhere first, and without this a silent zone would give no evidence at all. Given up while the data node
+// answered others, an attempt says nothing: the module gives attempts up when their query ends for other reasons. The
+// caller holds no lock; a is nil for a probe.
+func (c *Core) zoneSaw(n *Node, a *Attempt, end Outcome, now time.Time) {
+	if c.zones == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.zones.t.Observe(time.Now(), n.member.Zone, n.id, e)
+	e, known := zoneEvidence[end]
+	switch {
+	case end == Served || end == Errored || end == Busy:
+		c.zones.heard[n.id] = now
+	case end != Dropped || a == nil:
+	case a.why == aggregator.TimedOut, a.why == aggregator.Cancelled && c.zones.heard[n.id].Before(a.begun):
+		e, known = zones.TimedOut, true
+	}
+	if known {
+		c.zones.t.Observe(now, n.member.Zone, n.id, e)
+	}
 }
 
 // zoneList passes on which data nodes serve, by zone; the caller holds the lock.
@@ -123,6 +134,11 @@
 		}
 	}
 	c.zones.t.List(now, serving)
+	for id := range c.zones.heard {
+		if _, ok := serving[id]; !ok {
+			delete(c.zones.heard, id)
+		}
+	}
 }
 
 // zoneStep takes the verdicts that are due and returns the event that hands the module what changed, and when the
