--- a/cmd/gullfall-lab/zones.go
+++ b/cmd/gullfall-lab/zones.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -215,32 +216,24 @@
 		play.Lost += t.Failed + t.Lost + t.Wrong
 	}
 	play.Twins = ledger.Account().Twins
+	away := func(line string) (time.Duration, bool) {
+		t, err := time.Parse(time.RFC3339Nano, logValue(line, "time"))
+		return t.Sub(began), err == nil && !t.Before(began) && t.Before(back)
+	}
 	for _, c := range coords {
 		for _, line := range c.Lines(`msg="attempt begun" node=a-`) {
-			stamp, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
-			t, err := time.Parse(time.RFC3339Nano, stamp)
-			if err != nil || t.Before(began) || !t.Before(back) {
-				continue
+			if after, ok := away(line); ok {
+				play.IntoZone++
+				play.LeaveMS = max(play.LeaveMS, float64(after.Milliseconds()))
 			}
-			play.IntoZone++
-			play.LeaveMS = max(play.LeaveMS, float64(t.Sub(began).Milliseconds()))
 		}
 		for _, line := range c.Lines(`msg="attempt ended" node=a-`) {
-			stamp, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
-			t, err := time.Parse(time.RFC3339Nano, stamp)
-			if err != nil || t.Before(began) || !t.Before(back.Add(time.Second)) {
-				continue
-			}
-			_, end, _ := strings.Cut(line, " end=")
-			if strings.HasPrefix(end, `"`) {
-				end, _, _ = strings.Cut(end[1:], `"`)
-			} else {
-				end, _, _ = strings.Cut(end, " ")
-			}
-			if play.Ends == nil {
-				play.Ends = map[string]int{}
+			if _, ok := away(line); ok {
+				if play.Ends == nil {
+					play.Ends = map[string]int{}
+				}
+				play.Ends[logValue(line, "end")]++
 			}
-			play.Ends[end]++
 		}
 		if c.Logged(`msg="zone out" zone=a`) > 0 {
 			play.ZoneOut++
@@ -251,3 +244,20 @@
 	}
 	return play, nil
 }
+
+// logValue is the value of key in a line of the text log, unquoted; empty where the line has none.
+func logValue(line, key string) string {
+	i := strings.Index(" "+line, " "+key+"=")
+	if i < 0 {
+		return ""
+	}
+	v := line[i+len(key)+1:]
+	if strings.HasPrefix(v, `"`) {
+		if u, err := strconv.QuotedPrefix(v); err == nil {
+			v, _ = strconv.Unquote(u)
+			return v
+		}
+	}
+	v, _, _ = strings.Cut(v, " ")
+	return v
+}
