Keyed classes: each attempt carries its query's idempotency key on both wires

The protocol's `Q` line has `k`, the key of the query, in a keyed class. Nothing read the client's Idempotency-Key: clients.go `query` took five headers and not this one, and nodes.go `encode` wrote `d` alone into a part's list.

Change. core.Query takes the key from either front (the header; idempotency_key in a Flight ticket or question) and hands it to each Attempt unread; frames carry it as k, Flight data nodes get it in PartAsk and PartTicket. A query of a keyed class without a key, or with one that a wire would change (over 128 bytes, a comma, a space, not ASCII), is turned back as bad input with the reason; a header that stands twice is 400. A class of another effect does without, whatever is sent.

The fault suite plays the key over both fronts and all data-node protocols, further attempts included; a scenario fixes the frame. Both fail without the change.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,9 +34,12 @@
 	Owner    string
 	Retry    bool
 	Deadline time.Time
-	Text     string // what each part carries
-	Parts    []Part
-	In       *atomic.Int32 // counts the parts that have come, for who looks on; may be nil
+	// IdempotencyKey goes with each attempt of each part of a keyed class, so that its holders drop a repeat. It is made
+	// by the client and carried unread; classes of another effect do without.
+	IdempotencyKey string
+	Text           string // what each part carries
+	Parts          []Part
+	In             *atomic.Int32 // counts the parts that have come, for who looks on; may be nil
 }
 
 // Part is one shard's share of a query.
@@ -94,10 +97,11 @@
 
 // Attempt is one sending of a part to a data node. Its Deadline is when the answer is of no more use.
 type Attempt struct {
-	ID       string
-	Shard    int
-	Text     string
-	Deadline time.Time
+	ID             string
+	Shard          int
+	Text           string
+	IdempotencyKey string // of the query; empty where its class is not keyed
+	Deadline       time.Time
 
 	number int
 	part   *part
@@ -241,6 +245,9 @@
 			return fmt.Errorf("%w: id %q", ErrInput, q.ID)
 		}
 	}
+	if err := c.checkKey(q); err != nil {
+		return err
+	}
 	if len(q.Parts) == 0 {
 		return fmt.Errorf("%w: no shards", ErrInput)
 	}
@@ -260,6 +267,34 @@
 	return nil
 }
 
+// mostKey is the longest idempotency key, in bytes.
+const mostKey = 128
+
+// keyed tells whether the holders of a class's parts drop a repeat by the query's key.
+func (c *Core) keyed(class string) bool {
+	return c.set.Classes[c.classes[class]].Effect == aggregator.Keyed
+}
+
+// checkKey refuses a query of a keyed class whose key is missing, or is not one that each wire carries unchanged: the
+// frames' list of a part ends at a space, and its entries at a comma. A key in another class is the client's own affair.
+func (c *Core) checkKey(q *Query) error {
+	if !c.keyed(q.Class) {
+		return nil
+	}
+	if q.IdempotencyKey == "" {
+		return fmt.Errorf("%w: class %q needs an idempotency key, the same for each retry of a query", ErrInput, q.Class)
+	}
+	if len(q.IdempotencyKey) > mostKey {
+		return fmt.Errorf("%w: idempotency key of %d bytes; %d are allowed", ErrInput, len(q.IdempotencyKey), mostKey)
+	}
+	for _, r := range q.IdempotencyKey {
+		if r <= ' ' || r > '~' || r == ',' {
+			return fmt.Errorf("%w: idempotency key %q; visible ASCII without commas is allowed", ErrInput, q.IdempotencyKey)
+		}
+	}
+	return nil
+}
+
 // Ask takes a query and waits for its final answer. An error wraps ErrInput, where the query was not taken,
 // or is ErrGone, where ctx ended first.
 func (c *Core) Ask(ctx context.Context, asked Query) (Answer, error) {
@@ -273,6 +308,9 @@
 	if end := time.Now().Add(c.set.Classes[c.classes[asked.Class]].Deadline); asked.Deadline.After(end) {
 		asked.Deadline = end
 	}
+	if !c.keyed(asked.Class) {
+		asked.IdempotencyKey = ""
+	}
 	q := &query{Query: asked, taken: time.Now(), reply: make(chan Answer, 1)}
 	size := 1 + len(asked.Parts)
 	c.mu.Lock()
@@ -607,7 +645,7 @@
 	if p == nil {
 		return
 	}
-	a := &Attempt{ID: p.id, Shard: p.shard, Text: p.q.Text, Deadline: now.Add(act.After), number: len(p.tries),
+	a := &Attempt{ID: p.id, Shard: p.shard, Text: p.q.Text, IdempotencyKey: p.q.IdempotencyKey, Deadline: now.Add(act.After), number: len(p.tries),
 		part: p, node: n, begun: now}
 	if act.After <= 0 || a.Deadline.After(p.q.Deadline) {
 		a.Deadline = p.q.Deadline
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -33,7 +33,7 @@
 	fill  int                                            // bytes of a part that its buffers can't take
 }
 
-// asker asks one query and returns its verdict in words: "whole", "partial" or "answered" with the documents,
+// asker asks one query, of a class or of "class#key" where it carries an idempotency key, and returns its verdict in words: "whole", "partial" or "answered" with the documents,
 // "refused", "failed", "bad input", "gone" or "overtime".
 type asker func(ctx context.Context, class, owner string, shards ...int) string
 
@@ -49,6 +49,7 @@
 	twins   int
 	givenUp int
 	starts  map[string]int // by data node
+	keys    []string       // of attempts, in order of their beginning
 	release chan struct{}  // lets go of attempts that are held
 }
 
@@ -56,12 +57,13 @@
 type attempt struct{ node, id string }
 
 // start notes an attempt and returns its number and what is to be done to it.
-func (b *book) start(node, id string) (number int, act string) {
+func (b *book) start(node, id, key string) (number int, act string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := b.tries[id]
 	b.tries[id]++
 	b.starts[node]++
+	b.keys = append(b.keys, key)
 	for _, a := range b.out {
 		if a.id == id {
 			b.twins++
@@ -126,8 +128,10 @@
 		return aggregator.Class{Name: name, Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.1,
 			Need: 1, Floor: floor, Partial: 0.9}
 	}
+	entry := class("entry", 1)
+	entry.Effect, entry.Memory = aggregator.Keyed, 2*time.Second
 	return aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 1, Shards: 4, Reach: 1,
-		Classes: []aggregator.Class{class("report", 1), class("board", 0.5)},
+		Classes: []aggregator.Class{class("report", 1), class("board", 0.5), entry},
 		Tenants: []aggregator.Tenant{{Name: "club", Rate: 1000}}, OverShareWorth: 0.05,
 		CallCost: time.Millisecond,
 		Limits: aggregator.Limits{Attempts: 3, Bundle: 8, Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second,
@@ -251,6 +255,17 @@
 		}
 		return append(got, fmt.Sprint("sent to it ", r.b.at(drained.ID)))
 	}, []string{"whole 0/1", "whole 1/1", "whole 1/1", "whole 1/1", "whole 1/1", "whole 1/1", "sent to it 1"}},
+	// The key belongs to the query and goes with each attempt of each of its parts, further ones included; another
+	// class does without, whatever its client sends.
+	{"keyed", 0, []string{"0:err", "ok"}, func(r *rig) []string {
+		got := []string{r.within("entry#5c0f6e1a", "club", 0, 1), r.within("report#5c0f6e1a", "club", 0)}
+		return append(got, fmt.Sprintf("%q", r.b.keys))
+	}, []string{"whole 0/2 1/1", "whole 0/2", `["5c0f6e1a" "5c0f6e1a" "5c0f6e1a" "" ""]`}},
+	{"keyed without a key, and with what no wire carries", 0, []string{"ok"}, func(r *rig) []string {
+		got := []string{r.within("entry", "club", 0), r.within("entry#a,d=1", "club", 0), r.within("entry#a b", "club", 0),
+			r.within("entry#"+strings.Repeat("k", 129), "club", 0), r.within("entry#"+strings.Repeat("k", 128), "club", 0)}
+		return append(got, fmt.Sprint("sent ", r.b.at("n1")+r.b.at("n2")))
+	}, []string{"bad input", "bad input", "bad input", "bad input", "whole 0/1", "sent 1"}},
 	// A complete list without a data node means that it is gone.
 	{"missing in the list", 0, []string{"ok"}, func(r *rig) []string {
 		r.fleet.Replace(r.nodes[1:], false)
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -160,8 +160,9 @@
 			words := strings.Fields(string(line))
 			n, _ := strconv.Atoi(words[3])
 			id := words[0]
+			_, key, _ := strings.Cut(words[2], ",k=")
 			rest = after[n:]
-			number, act := b.start(name, id)
+			number, act := b.start(name, id, key)
 			mu.Lock()
 			out[id] = number
 			mu.Unlock()
@@ -215,7 +216,7 @@
 	if err := json.Unmarshal(t.Ticket, &ticket); err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	number, act := s.b.start(s.name, ticket.ID)
+	number, act := s.b.start(s.name, ticket.ID, ticket.Key)
 	givenUp := false
 	defer func() { s.b.end(number, givenUp) }()
 	b := array.NewRecordBuilder(memory.DefaultAllocator, flight.Schema)
@@ -315,7 +316,7 @@
 			settle(ask.Cancel, true)
 		}
 		for _, p := range ask.Parts {
-			number, act := s.b.start(s.name, p.ID)
+			number, act := s.b.start(s.name, p.ID, p.Key)
 			mu.Lock()
 			out[p.ID] = number
 			mu.Unlock()
@@ -395,7 +396,7 @@
 		}
 		question := append(fmt.Appendf(nil, `{"id":"q","deadline_ms":%d,`, max(1, time.Until(end).Milliseconds())), ticket(class, owner, shards...)[1:]...)
 		stream.Send(&arrowflight.FlightData{AppMetadata: question, FlightDescriptor: &arrowflight.FlightDescriptor{
-			Type: arrowflight.DescriptorPATH, Path: []string{class}}})
+			Type: arrowflight.DescriptorPATH, Path: []string{strings.Split(class, "#")[0]}}})
 		stream.CloseSend()
 		in, err := arrowflight.NewRecordReader(stream)
 		docs, meta, err := readAll(in, err)
@@ -467,8 +468,12 @@
 // post writes a request.
 func post(nc net.Conn, id, class, owner string, end time.Time, shards []int) {
 	body := form(shards)
-	fmt.Fprintf(nc, "POST /%s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Owner: %s\r\nReq-Deadline-Ms: %d\r\n"+
-		"Content-Length: %d\r\n\r\n%s", class, id, owner, time.Until(end).Milliseconds(), len(body), body)
+	class, key, keyed := strings.Cut(class, "#")
+	if keyed {
+		key = "Idempotency-Key: " + key + "\r\n"
+	}
+	fmt.Fprintf(nc, "POST /%s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Owner: %s\r\nReq-Deadline-Ms: %d\r\n%s"+
+		"Content-Length: %d\r\n\r\n%s", class, id, owner, time.Until(end).Milliseconds(), key, len(body), body)
 }
 
 func slowHTTP(t *testing.T, addr string, end time.Time) {
@@ -505,6 +510,10 @@
 
 // ticket is a Flight client's query.
 func ticket(class, owner string, shards ...int) []byte {
+	class, key, keyed := strings.Cut(class, "#")
+	if keyed {
+		return fmt.Appendf(nil, `{"class":%q,"owner":%q,"idempotency_key":%q,%s`, class, owner, key, form(shards)[1:])
+	}
 	return fmt.Appendf(nil, `{"class":%q,"owner":%q,%s`, class, owner, form(shards)[1:])
 }
 
--- a/internal/flight/calls.go
+++ b/internal/flight/calls.go
@@ -30,7 +30,8 @@
 	Class     string
 	Owner     string
 	Retry     bool
-	Endpoints int // GetFlightInfo, PollFlightInfo: ranges of parts that can be fetched apart; 1 where it is missing
+	Key       string `json:"idempotency_key"` // what a keyed class needs, the same for each retry
+	Endpoints int    // GetFlightInfo, PollFlightInfo: ranges of parts that can be fetched apart; 1 where it is missing
 }
 
 // mostEndpoints bounds the ranges of one flight.
@@ -53,7 +54,7 @@
 	if t.ID == "" {
 		t.ID = rand.Text()
 	}
-	q = core.Query{ID: t.ID, Class: t.Class, Owner: t.Owner, Retry: t.Retry}
+	q = core.Query{ID: t.ID, Class: t.Class, Owner: t.Owner, Retry: t.Retry, IdempotencyKey: t.Key}
 	if q.Parts, q.Text, err = ask.Parts(raw); err != nil {
 		return q, t, status.Error(codes.InvalidArgument, err.Error())
 	}
--- a/internal/flight/nodecalls.go
+++ b/internal/flight/nodecalls.go
@@ -6,7 +6,7 @@
 // what came before a cut.
 //
 // The coordinator sends one message without a body whose descriptor's path is "parts" and whose metadata is
-// {"parts":[{"id":"q.3","shard":3,"q":"...","deadline_ms":240}]}, and {"cancel":"q.3"} for one that is given up. The data
+// {"parts":[{"id":"q.3","shard":3,"q":"...","deadline_ms":240}]} (with "idempotency_key" in a keyed class), and {"cancel":"q.3"} for one that is given up. The data
 // node answers with batches whose metadata is {"id":"q.3","last":true,"load":{"util":0.6}}, or a batch without rows
 // and {"id":"q.3","status":"ResourceExhausted"} for a part that it turns away.
 
@@ -36,6 +36,7 @@
 	Shard      int    `json:"shard"`
 	Q          string `json:"q"`
 	DeadlineMS int64  `json:"deadline_ms"`
+	Key        string `json:"idempotency_key,omitempty"` // of a keyed class: a repeat is dropped by it
 }
 
 // PartsAsk is the metadata of a message to a data node.
@@ -145,7 +146,8 @@
 			continue // given up while it waited
 		}
 		p.calls[a].begun, p.calls[a].ch = time.Now(), ch
-		ask.Parts = append(ask.Parts, PartAsk{ID: a.ID, Shard: a.Shard, Q: a.Text, DeadlineMS: max(1, time.Until(a.Deadline).Milliseconds())})
+		ask.Parts = append(ask.Parts, PartAsk{ID: a.ID, Shard: a.Shard, Q: a.Text, Key: a.IdempotencyKey,
+			DeadlineMS: max(1, time.Until(a.Deadline).Milliseconds())})
 	}
 	return ask, len(ask.Parts) > 0
 }
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -39,6 +39,7 @@
 	ID    string `json:"id"`
 	Shard int    `json:"shard"`
 	Q     string `json:"q"`
+	Key   string `json:"idempotency_key,omitempty"` // of a keyed class
 }
 
 // LoadAction is the type of the action by which a data node is probed; its result is a load report.
@@ -312,7 +313,7 @@
 	if barred {
 		return core.Result{Outcome: core.Busy}
 	}
-	ticket, _ := json.Marshal(PartTicket{ID: a.ID, Shard: a.Shard, Q: a.Text})
+	ticket, _ := json.Marshal(PartTicket{ID: a.ID, Shard: a.Shard, Q: a.Text, Key: a.IdempotencyKey})
 	stream, err := ch.client.DoGet(ctx, &flight.Ticket{Ticket: ticket})
 	if err == nil {
 		r, err = p.read(ch, stream, a.Shard)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -340,7 +340,8 @@
 	if err != nil {
 		return nil, c.cut(err)
 	}
-	for _, key := range []string{"Content-Length", "Transfer-Encoding", "Req-Id", "Req-Owner", "Req-Deadline-Ms"} {
+	for _, key := range []string{"Content-Length", "Transfer-Encoding", "Req-Id", "Req-Owner", "Req-Deadline-Ms",
+		"Idempotency-Key"} {
 		if len(header[key]) > 1 {
 			return nil, bad(400, "%s stands twice", key)
 		}
@@ -476,7 +477,7 @@
 		return core.Query{}, bad(400, "Req-Deadline-Ms %.40q", h.Get("Req-Deadline-Ms"))
 	}
 	q := core.Query{ID: h.Get("Req-Id"), Class: class, Owner: h.Get("Req-Owner"), Retry: h.Get("Req-Retry") == "1",
-		Deadline: now.Add(time.Duration(ms) * time.Millisecond)}
+		Deadline: now.Add(time.Duration(ms) * time.Millisecond), IdempotencyKey: h.Get("Idempotency-Key")}
 	if q.Parts, q.Text, err = ask.Parts(req.body); err != nil {
 		return q, bad(400, "%v", err)
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -499,7 +499,11 @@
 				continue // the core is about to drop it
 			}
 			s.at = now
-			body = fmt.Appendf(body, "%s %d d=%d %d\n%s", s.ID, s.Shard, left, len(s.Text), s.Text)
+			body = fmt.Appendf(body, "%s %d d=%d", s.ID, s.Shard, left)
+			if s.IdempotencyKey != "" {
+				body = fmt.Appendf(body, ",k=%s", s.IdempotencyKey)
+			}
+			body = fmt.Appendf(body, " %d\n%s", len(s.Text), s.Text)
 		}
 		if len(body) == 5 {
 			return nil
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -33,6 +33,22 @@
 var scenarios = []struct {
 	name, nodes, script string
 }{
+	// Guards the form of a part: a data node that is sent a keyed part without its key turns the whole run away. The key
+	// is the query's, whatever its id; a query of another class has none.
+	{"a keyed part carries its query's key", "n1", `
+		c1 send entry q1 2000 0 5c0f6e1a2b3d4c59a8b7c6d5e4f30211
+		n1 expect Q q1.0(k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211)
+		n1 send A q1.0 err
+		n1 expect Q q1.0(k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211)
+		n1 send A q1.0 ok v0
+		c1 expect 200 {"complete":true,"hits":[{"shard":0,"doc":"v0"}]}
+		c1 send entry q2 2000 0 5c0f6e1a2b3d4c59a8b7c6d5e4f30211
+		n1 expect Q q2.0(k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211)
+		n1 send A q2.0 ok v0
+		c1 expect 200 {"complete":true,"hits":[{"shard":0,"doc":"v0"}]}
+		c1 send raw "POST /entry HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: club\r\nReq-Deadline-Ms: 900\r\nContent-Length: 24\r\n\r\n{\"shards\":[{\"shard\":0}]}"
+		c1 expect 400
+		n1 expect -`},
 	{"parts of one query for one data node are one frame", "n1 n2", `
 		c1 send query q1 2000 0,1,2
 		n1 expect Q q1.0,q1.2
@@ -122,6 +138,8 @@
 		c5 expect 400 close
 		c6 send query q1 +900 0
 		c6 expect 400
+		c7 send raw "POST /entry HTTP/1.1\r\nContent-Length: 2\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n{}"
+		c7 expect 400 close
 		n1 expect -`},
 	// Guards the 3 s that a bad client is owed: silence and half a request are ended within 2 s of connecting, however
 	// slowly more comes; on a connection in use each request has 2 s of its own.
@@ -502,7 +520,8 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 2, Shards: 4, Reach: 1,
 		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1,
-			LateWorth: 0.1, Need: 1, Floor: 1}},
+			LateWorth: 0.1, Need: 1, Floor: 1}, {Name: "entry", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1,
+			Effect: aggregator.Keyed, Memory: 2 * time.Second, Need: 1, Floor: 1}},
 		Tenants: []aggregator.Tenant{{Name: "club", Rate: 100}}, CallCost: time.Millisecond,
 		Limits: aggregator.Limits{Attempts: 3, Bundle: 8, Cancel: true, Probes: true, RetryAfter: true,
 			MaxRetryAfter: time.Second, ConnectTimeout: 250 * time.Millisecond, ConnIdle: 30 * time.Second},
@@ -718,6 +737,9 @@
 			if after[:n] != "text" {
 				return "", fmt.Errorf("text %q", after[:n])
 			}
+			if _, key, keyed := strings.Cut(words[2], ",k="); keyed {
+				words[0] += "(k=" + key + ")"
+			}
 			ids, rest = append(ids, words[0]), after[n:]
 		}
 		rest = strings.Join(ids, ",")
@@ -754,14 +776,20 @@
 		data = "POST /report HTTP/1.1\r\nContent-Length: " + words[1] + "\r\n\r\n" + strings.Repeat("x", n)
 	case text == "long":
 		data = "GET /up HTTP/1.1\r\nX: " + strings.Repeat("x", 200_000) + "\r\n\r\n"
-	case words[0] == "query":
+	case words[0] == "query", words[0] == "entry":
+		class, key := "report", ""
+		if words[0] == "entry" {
+			class = "entry"
+			words[3], key, _ = strings.Cut(words[3], " ")
+			key = "Idempotency-Key: " + key + "\r\n"
+		}
 		var parts []string
 		for _, shard := range strings.Split(words[3], ",") {
 			parts = append(parts, fmt.Sprintf(`{"shard":%s,"weight":%g}`, shard, 1/float64(1+strings.Count(words[3], ","))))
 		}
 		body := `{"shards":[` + strings.Join(parts, ",") + `],"q":"text"}`
-		data = fmt.Sprintf("POST /report HTTP/1.1\r\nReq-Id: %s\r\nReq-Owner: club\r\nReq-Deadline-Ms: %s\r\n"+
-			"Content-Length: %d\r\n\r\n%s", words[1], words[2], len(body), body)
+		data = fmt.Sprintf("POST /%s HTTP/1.1\r\nReq-Id: %s\r\nReq-Owner: club\r\nReq-Deadline-Ms: %s\r\n%s"+
+			"Content-Length: %d\r\n\r\n%s", class, words[1], words[2], key, len(body), body)
 	case words[0] == "A":
 		value := ""
 		if len(words) > 3 {
