Discovery: an agent's list is called for at once, so drains are heard within the grace

The lines at fault: `crowd`, `first` and `pause` of platform/discovery.go spread calls over up to 10 s, doubled, so that 300 coordinators do not overrun a discovery that is asked, and cmd/gullfall/serve.go set Watch.Others whether or not the list is pushed.

Change. membership.Calls decides when a list is called for, by how it comes. Pushed: the first call at once, a call that brings nothing is given up after half of the grace and made again after an eighth of it. Asked: the spread stays, bounded by the rule's clocks. A watch's silence is noticed after 4 s instead of 5.

--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -112,7 +112,8 @@
 	c.Carrier(dnssd.Frames, nodes.Carry)
 	watch.Source, watch.Log, watch.Dial = c.Source(membership.Spec{Name: "discovery", Rank: discoveryRank}), log, dial
 	watch.Keep = func(list []byte) { kept.Put(store.Members, list) }
-	watch.Others, watch.Grace = cfg.Settings.Aggregators-1, cfg.Settings.Rules.DrainGrace
+	watch.Calls = membership.Calls{Pushed: !cfg.Settings.Subscribe, Others: cfg.Settings.Aggregators - 1,
+		Grace: cfg.Settings.Rules.DrainGrace, AskEvery: cfg.Settings.Rules.AskEvery}
 	watch.Draw = rand.New(rand.NewPCG(cfg.Seed, 2)).Float64
 	if len(cfg.Known) > 0 {
 		watch.Remember(cfg.Known)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -22,21 +22,7 @@
 	"time"
 
 	"gullfall/internal/core"
-)
-
-// Discovery says an empty line every 2 s while nothing changes; a watch that is silent for longer than quiet
-// is opened anew, after a pause.
-const (
-	quiet = 5 * time.Second
-	// A list costs discovery work for each line and each coordinator that calls for it. In lineTime it has surely
-	// done a line's.
-	lineTime = time.Millisecond
-	// However long that is, a coordinator must hear of changes: calls are spread over mostCrowd at most.
-	mostCrowd = 10 * time.Second
-	// The pause before a further call is drawn from the time that all coordinators' calls take, but from leastPause
-	// at least. It doubles with each call that brings nothing, up to mostPause or twice the first, whichever is longer.
-	leastPause = 400 * time.Millisecond
-	mostPause  = time.Second
+	"gullfall/internal/membership"
 )
 
 // Watch follows the list of data nodes. Its exported fields are set before Run.
@@ -45,9 +31,8 @@
 	Log    *slog.Logger
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Keep   func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
-	Others int               // coordinators that call for the list beside this one
+	Calls  membership.Calls  // when the list is called for
 	Draw   func() float64    // from 0 to 1, not the same in each coordinator
-	Grace  time.Duration     // within which a drain that is listed must be heard of
 
 	moves   chan string
 	addr    string
@@ -55,7 +40,6 @@
 	listed  bool                       // a list was told, or remembered
 	moved   bool                       // and not by the address in use
 	away    bool                       // the last try failed, and was logged
-	vain    int                        // calls in a row that brought nothing
 	entries map[string]json.RawMessage // by id
 }
 
@@ -64,29 +48,10 @@
 	return &Watch{addr: addr, moves: make(chan string), Draw: rand.Float64}
 }
 
-// crowd is how long discovery may take for the lists of all coordinators, one after the other. Calls that start
-// together are spread over it: else most wait until they are given up, are made again together, and none is served.
-func (w *Watch) crowd() time.Duration {
-	return min(time.Duration((w.Others+1)*len(w.entries))*lineTime, mostCrowd)
-}
-
-// first is how long the first call is put off: not past the grace, as what is listed may be a drain that the list in
-// hand does not know of. Where no list is held it can't wait.
-func (w *Watch) first() time.Duration {
-	return time.Duration(w.Draw() * float64(min(w.crowd(), w.Grace/2)))
-}
-
-// pause is how long to wait before the next call, once one has ended.
-func (w *Watch) pause() time.Duration {
-	span := max(w.crowd(), leastPause)
-	span = min(span<<min(w.vain, 8), max(2*span, mostPause))
-	w.vain++
-	return time.Duration(w.Draw() * float64(span))
-}
-
 // source is one connection to discovery, or the attempt to open one.
 type source struct {
 	addr, target string
+	patience     time.Duration // how long it may bring nothing before its first line
 	told         chan<- telling
 	stop         context.CancelFunc
 }
@@ -141,6 +106,7 @@
 		}
 		list = append(list, m)
 	}
+	w.Calls.Lines = len(w.entries)
 	return list
 }
 
@@ -169,7 +135,7 @@
 func (w *Watch) Run(ctx context.Context) {
 	told := make(chan telling)
 	open := func() *source {
-		s := &source{addr: w.addr, target: "/discovery/hosts?watch=1", told: told}
+		s := &source{addr: w.addr, target: "/discovery/hosts?watch=1", patience: w.Calls.Patience(), told: told}
 		if w.listed && !w.moved {
 			s.target += "&after=" + strconv.FormatInt(w.version, 10)
 		}
@@ -179,7 +145,7 @@
 		return s
 	}
 	var now, next *source
-	again := time.NewTimer(w.first())
+	again := time.NewTimer(w.Calls.First(w.Draw()))
 	defer again.Stop()
 	for {
 		select {
@@ -215,10 +181,10 @@
 						"cause", t.end)
 				}
 				if w.away = true; next == nil {
-					again.Reset(w.pause())
+					again.Reset(w.Calls.Again(w.Draw()))
 				}
 			case t.open:
-				w.vain = 0
+				w.Calls.Brought()
 				if w.away {
 					w.Log.Info("watch on discovery is open again", "version", w.version)
 				}
@@ -267,7 +233,7 @@
 
 // read opens a source's connection and tells what it brings, until it ends.
 func (w *Watch) read(ctx context.Context, s *source) error {
-	dialing, cancel := context.WithDeadline(ctx, time.Now().Add(quiet))
+	dialing, cancel := context.WithDeadline(ctx, time.Now().Add(s.patience))
 	nc, err := w.Dial(dialing, s.addr)
 	cancel()
 	if err != nil {
@@ -275,11 +241,12 @@
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	nc.SetDeadline(time.Now().Add(quiet))
+	nc.SetWriteDeadline(time.Now().Add(s.patience))
 	if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", s.target, s.addr); err != nil {
 		return err
 	}
-	in := textproto.NewReader(bufio.NewReader(nc))
+	live := &lively{nc: nc, silence: s.patience}
+	in := textproto.NewReader(bufio.NewReader(live))
 	status, err := in.ReadLine()
 	if err != nil {
 		return err
@@ -297,13 +264,12 @@
 	}
 	lines := bufio.NewReader(body)
 	for open := false; ; {
-		nc.SetReadDeadline(time.Now().Add(quiet))
 		line, err := lines.ReadBytes('\n')
 		if err != nil {
 			return err
 		}
 		if !open { // the head alone tells nothing: the call may still wait its turn, and end
-			open = true
+			open, live.silence = true, membership.Quiet
 			s.tell(ctx, telling{open: true})
 		}
 		if len(strings.TrimSpace(string(line))) == 0 {
@@ -317,6 +283,17 @@
 	}
 }
 
+// lively reads a connection for as long as it goes on bringing something.
+type lively struct {
+	nc      net.Conn
+	silence time.Duration // that is borne
+}
+
+func (l *lively) Read(p []byte) (int, error) {
+	l.nc.SetReadDeadline(time.Now().Add(l.silence))
+	return l.nc.Read(p)
+}
+
 // keep passes on the whole list.
 func (w *Watch) keep() {
 	if w.Keep == nil {
--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,42 +17,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"gullfall/aggregator"
 	"gullfall/internal/core"
 	"gullfall/internal/membership"
 )
 
-// TestPauses: pauses between calls for the list double up to a bound, which also the longest list of the largest fleet
-// does not lift.
-func TestPauses(t *testing.T) {
-	for _, c := range []struct {
-		others, lines int
-		want          []time.Duration
-	}{
-		{2, 14, []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, time.Second, time.Second}},
-		{79, 60, []time.Duration{4800 * time.Millisecond, 9600 * time.Millisecond, 9600 * time.Millisecond}},
-		{999, 10_000, []time.Duration{10 * time.Second, 20 * time.Second, 20 * time.Second}},
-	} {
-		w := NewWatch("d")
-		w.Others, w.Grace, w.Draw, w.entries = c.others, 2*time.Second, func() float64 { return 1 }, map[string]json.RawMessage{}
-		for i := range c.lines {
-			w.entries[fmt.Sprint(i)] = nil
-		}
-		if first := w.first(); first > time.Second {
-			t.Errorf("%d coordinators, %d lines: the first call comes after %v", c.others+1, c.lines, first)
-		}
-		var got []time.Duration
-		for range c.want {
-			got = append(got, w.pause())
-		}
-		if diff := cmp.Diff(c.want, got); diff != "" {
-			t.Errorf("%d coordinators, %d lines: (-want +got)\n%s", c.others+1, c.lines, diff)
-		}
-	}
-}
-
 // overbooked is discovery that lists to one caller at a time. Whoever has waited for longer than patience is cut off,
 // but has taken its turn by then; beyond queue waiting calls, further ones are turned away.
 type overbooked struct {
@@ -125,7 +93,8 @@
 			}
 			w := NewWatch("d")
 			w.Source, w.Log, w.Dial = c.Source(membership.Spec{Name: "discovery"}), log, o.dial
-			w.Others, w.Grace, w.Draw = coordinators-1, 2*time.Second, rand.New(rand.NewPCG(seed, 1)).Float64
+			w.Calls = membership.Calls{Others: coordinators - 1, Grace: 2 * time.Second}
+			w.Draw = rand.New(rand.NewPCG(seed, 1)).Float64
 			w.Remember([]byte(`{"version":41,"servers":[` + strings.Join(known, ",") + `]}`))
 			go w.Run(ctx)
 		}
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -350,11 +350,11 @@
 		wait 300ms
 		d1 expect GET /discovery/hosts?watch=1&after=42
 		d1 send line
-		wait 4s
+		wait 3500ms
 		d1 send line
-		wait 4s
+		wait 3500ms
 		d1 expect -
-		wait 2s
+		wait 1s
 		d1 expect end
 		wait 300ms
 		d1 expect GET /discovery/hosts?watch=1&after=42`},
