Keyed repeats: an attempt that could not begin while a repeat is dropped is turned back unsent

The module sends a further attempt of a keyed part only within the class's window (`repeatable`), but the frame goes out when a connection has room: opening one may take ConnectTimeout (250 ms), so a repeat decided 20 ms before the window's end could reach a data node that drops repeats no longer, and run twice.

A Send says within what it has to begin (Action.Begin, from the same figure that `repeatable` goes by); core hands that to the carriers, which turn back what is late as never begun, on frames and on both kinds of Flight call.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -167,7 +167,7 @@
 
 // The actions of Step.
 const (
-	Send      ActionKind = iota + 1 // Part, Replica, After: the attempt's time-out
+	Send      ActionKind = iota + 1 // Part, Replica, After: the attempt's time-out, Begin
 	Cancel                          // Part, Attempt
 	Answer                          // Query, Whole
 	Refuse                          // Query, After: when to return
@@ -189,5 +189,6 @@
 	Whole   bool // the answer is complete
 	Final   bool // no second step follows the answer
 	After   time.Duration
+	Begin   time.Duration // Send: within it or never, as what may run twice is then no longer dropped
 	Data    []byte
 }
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -805,13 +805,12 @@
 
 // repeatable tells whether the rules allow p another attempt at all: the cap, and the class's effect.
 func (a *Aggregator) repeatable(p *part) bool {
+	return len(p.tries) == 0 || len(p.tries) < a.set.Limits.Attempts && a.begin(p) > 0
+}
+
+// begin is how long a further attempt of p may still begin; a repeat is dropped for a while where the class is keyed.
+func (a *Aggregator) begin(p *part) time.Duration {
 	c := &a.set.Classes[p.q.class]
-	if len(p.tries) == 0 {
-		return true
-	}
-	if len(p.tries) >= a.set.Limits.Attempts {
-		return false
-	}
 	since, may := p.firstRun, p.mayRun
 	for _, t := range p.tries {
 		if t.open && (!may || t.at < since) {
@@ -820,11 +819,11 @@
 	}
 	switch {
 	case !may || c.Effect == Safe:
-		return true
+		return math.MaxInt64
 	case c.Effect == Keyed:
-		return a.now-since < c.Memory-4*a.set.Tick
+		return since + c.Memory - 4*a.set.Tick - a.now
 	}
-	return false
+	return 0
 }
 
 // mayExtra tells whether a further attempt is within the rule's ration and what has been saved up.
@@ -1022,7 +1021,7 @@
 // send starts an attempt. Its time-out is the time in which an answer is of use; servers may skip the
 // rest.
 func (a *Aggregator) send(p *part, r *replica) {
-	q, fresh := p.q, a.refresh(p, r)
+	q, fresh, begin := p.q, a.refresh(p, r), a.begin(p)
 	a.book(p, r, fresh).c.work += a.usual(q)
 	a.note(r, newsSent, times(a.workOf(p), time.Second))
 	if r.cold {
@@ -1032,5 +1031,5 @@
 	}
 	end := a.useful(q) - 3*a.set.Tick
 	a.out = append(a.out, Action{Kind: Send, Part: p.id, Replica: r.member.Replica,
-		After: max(end-a.now, time.Microsecond)})
+		After: max(end-a.now, time.Microsecond), Begin: begin})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,6 +102,7 @@
 	Text           string
 	IdempotencyKey string // of the query; empty where its class is not keyed
 	Deadline       time.Time
+	begin          time.Time // after it, the attempt may not be begun any more; zero for no such bound
 
 	number int
 	part   *part
@@ -112,6 +113,10 @@
 	end    Outcome
 }
 
+// Late tells that an attempt may not be begun any more, though its deadline has not passed: its holders drop a repeat only
+// for so long. It is to be turned back as Busy.
+func (a *Attempt) Late(now time.Time) bool { return !a.begin.IsZero() && now.After(a.begin) }
+
 // Order is one thing that a carrier is to do at a data node; one field is set.
 type Order struct {
 	Call      []*Attempt // to be sent as one call
@@ -650,6 +655,9 @@
 	if act.After <= 0 || a.Deadline.After(p.q.Deadline) {
 		a.Deadline = p.q.Deadline
 	}
+	if act.Begin < time.Until(p.q.Deadline) {
+		a.begin = now.Add(act.Begin)
+	}
 	p.tries = append(p.tries, a)
 	c.attempts[a] = true
 	c.log.Debug("attempt begun", "node", act.Replica, "part", a.ID, "number", a.number, "after", now.Sub(p.q.taken))
--- a/internal/flight/nodecalls.go
+++ b/internal/flight/nodecalls.go
@@ -145,6 +145,10 @@
 		if g.left[a.ID] != a {
 			continue // given up while it waited
 		}
+		if a.Late(time.Now()) {
+			p.finish(g, a, core.Result{Outcome: core.Busy})
+			continue
+		}
 		p.calls[a].begun, p.calls[a].ch = time.Now(), ch
 		ask.Parts = append(ask.Parts, PartAsk{ID: a.ID, Shard: a.Shard, Q: a.Text, Key: a.IdempotencyKey,
 			DeadlineMS: max(1, time.Until(a.Deadline).Milliseconds())})
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -296,7 +296,7 @@
 		return core.Result{Outcome: core.NotConnected}
 	}
 	p.mu.Lock()
-	barred := p.node.Barred()
+	barred := p.node.Barred() || a.Late(time.Now())
 	if c.ch = ch; !barred {
 		c.begun = time.Now()
 	}
--- /dev/null
+++ b/internal/platform/keyed_test.go
@@ -0,0 +1,90 @@
+package platform
+
+// A keyed part's further attempt meets a connection that comes up only after the time for which a repeat is dropped.
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+	"gullfall/internal/membership"
+)
+
+// TestKeyedRepeatIsNotLate: the holders drop a repeat for 300 ms from the first attempt that may have run. The second
+// data node's connection takes longer than what is left of that: nothing is written to it. A connection that is quick
+// enough gets the repeat, and so does a late one in a class that may be repeated freely.
+func TestKeyedRepeatIsNotLate(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect aggregator.Effect
+		dial   time.Duration
+		want   int32
+	}{
+		{"keyed, too late", aggregator.Keyed, 220 * time.Millisecond, 1},
+		{"keyed, in time", aggregator.Keyed, 50 * time.Millisecond, 2},
+		{"safe, as late", aggregator.Safe, 220 * time.Millisecond, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := slog.New(slog.DiscardHandler)
+				set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 1, Shards: 1, Reach: 1,
+					Classes: []aggregator.Class{{Name: "entry", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1,
+						Effect: c.effect, Memory: 300 * time.Millisecond}},
+					Limits: aggregator.Limits{Attempts: 2, Cancel: true, ConnectTimeout: 250 * time.Millisecond}}
+				k, err := core.New(set, 1, log)
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				go k.Run(ctx)
+				var frames, dials atomic.Int32
+				dial := func(ctx context.Context, _ string) (net.Conn, error) {
+					if dials.Add(1) > 1 {
+						time.Sleep(c.dial)
+					}
+					ours, theirs := net.Pipe()
+					a := &actor{name: "n", msgs: make(chan string, 9)}
+					go a.read(theirs)
+					go func() {
+						for msg := range a.msgs {
+							if msg == "end" {
+								theirs.Close()
+								return
+							}
+							end := "ok"
+							if msg[0] == 'Q' && frames.Add(1) == 1 {
+								time.Sleep(100 * time.Millisecond)
+								end = "err"
+							}
+							if msg[0] == 'Q' {
+								theirs.Write([]byte(frameOf("Aq.0 " + end + " 1 -\nv")))
+							}
+						}
+					}()
+					return ours, nil
+				}
+				k.Carrier("", (&Nodes{Core: k, Log: log, Dial: dial, Streams: 32, Connect: 250 * time.Millisecond, Slots: make(chan struct{}, 9)}).Carry)
+				list := k.Source(membership.Spec{Name: "list"})
+				list.Replace([]core.Member{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}, false)
+				answer, err := k.Ask(ctx, core.Query{ID: "q", Class: "entry", IdempotencyKey: "k1", Text: "text", Deadline: time.Now().Add(1500 * time.Millisecond),
+					Parts: []core.Part{{Weight: 1}}})
+				if err != nil || (answer.Verdict == core.Answered) != (c.want == 2) {
+					t.Errorf("answer %v, error %v", answer, err)
+				}
+				time.Sleep(time.Second)
+				if frames.Load() != c.want || dials.Load() != 2 {
+					t.Errorf("%d frames on %d connections, want %d on 2", frames.Load(), dials.Load(), c.want)
+				}
+				list.Replace(nil, false)
+				time.Sleep(time.Minute)
+				stop()
+			})
+		})
+	}
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -467,7 +467,7 @@
 }
 
 // encode makes the bytes of a frame and marks what it carries as begun. Calls to a data node that the list
-// bars by now, and parts whose time is over, are turned back unsent. The caller holds the lock.
+// bars by now, and parts whose time to begin or to be answered is over, are turned back unsent. The caller holds the lock.
 func (c *conn) encode(f frame) []byte {
 	now := time.Now()
 	body := []byte{0, 0, 0, 0}
@@ -491,7 +491,7 @@
 			switch {
 			case c.out[s.ID] != s:
 				continue
-			case c.l.node.Barred():
+			case c.l.node.Barred(), s.Late(now):
 				delete(c.out, s.ID)
 				c.l.Core.Report(s.Attempt, core.Result{Outcome: core.Busy})
 				continue
