--- /dev/null
+++ b/internal/core/deployments_test.go
@@ -0,0 +1,149 @@
+package core_test
+
+// The same checks over the settings of deployments that differ in kind, in the form that the platform hands them over.
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gullfall/internal/config"
+	"gullfall/internal/core"
+	"gullfall/internal/membership"
+)
+
+// deployments are made up here; each differs from the others in what the settings can say.
+var deployments = []struct {
+	name, settings string
+	cells, reach   int
+	perCell        int // data nodes of a cell
+	shards         int
+	owner          string
+	grace          time.Duration
+}{
+	{"sets, pushed, shared calls, tenants", `{"Az":"a","Balancers":3,"TickS":0.005,"Discovery":"automatic",
+		"Classes":[{"Name":"board","Effect":"safe","AimS":1,"HardLimitS":3,"Gain":3,"LateWorth":0.1},
+			{"Name":"entry","Effect":"keyed","MemorySpanS":2,"AimS":1,"HardLimitS":3,"Gain":1}],
+		"Parties":[{"Name":"club","QuotaPerS":100}],"OverShareWorth":0.05,
+		"FamilyInfo":{"Sets":3,"Slabs":12,"Width":1,"BundleMax":8,"CallCostS":0.05,"FloorByClass":[0.5,1],"PartialEarns":[0.9,0]},
+		"Limits":{"Cancel":true,"SendCap":3,"ConnectTimeoutS":0.25,"ConnIdleS":30,"RetryAfter":true,"MaxRetryAfterS":2},
+		"Rules":{"DrainGraceS":2,"FallMultiple":2,"TipAfterS":1.5,"StartCapacity":0.3,"WarmAfterS":17}}`, 3, 1, 3, 12, "club", 2 * time.Second},
+	{"ring, asked, second copies, no tenants, classes in another order", `{"Az":"b","Balancers":2,"TickS":0.005,"Discovery":"subscribe",
+		"Classes":[{"Name":"entry","Effect":"keyed","MemorySpanS":2,"AimS":1,"HardLimitS":3,"Gain":1},
+			{"Name":"board","Effect":"safe","AimS":1,"HardLimitS":3,"Gain":3,"LateWorth":0.1}],"WorthBy":"work",
+		"FamilyInfo":{"Sets":9,"Slabs":9,"Width":3,"BundleMax":1,"FloorByClass":[1,0.5],"PartialEarns":[0,0.9]},
+		"Limits":{"Cancel":true,"MayDuplicate":true,"SendCap":3,"ConnectTimeoutS":0.25,"ConnIdleS":30},
+		"Rules":{"DrainGraceS":0.5,"FallMultiple":2.5,"TipAfterS":1,"StartCapacity":0.24,"WarmAfterS":17,"AskEveryS":10}}`, 9, 3, 1, 9, "", 500 * time.Millisecond},
+}
+
+// TestDeployments: each part goes to a holder of its shard, with its query's key where its class is keyed; a call holds what
+// it may; a query of all shards is answered whole; what drains gets nothing new from the moment it is told, well within any
+// grace; and a class that may be answered from half is, once the other half has no holder.
+func TestDeployments(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				set, err := config.Settings([]byte(d.settings))
+				if err != nil {
+					t.Fatal(err)
+				}
+				c, err := core.New(set, 7, slog.New(slog.DiscardHandler))
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				go c.Run(ctx)
+				var mu sync.Mutex
+				cell, drained, last := map[string]int{}, map[string]bool{}, time.Time{}
+				c.Carrier("", func(n *core.Node) {
+					for o := n.Pick(context.Background()); o != nil; o = n.Pick(context.Background()) {
+						mu.Lock()
+						if len(o.Call) > max(1, set.Limits.Bundle) {
+							t.Errorf("a call of %d parts", len(o.Call))
+						}
+						for _, a := range o.Call {
+							if off := (cell[n.ID()] - a.Shard%d.cells + d.cells) % d.cells; off >= d.reach {
+								t.Errorf("shard %d went to cell %d", a.Shard, cell[n.ID()])
+							}
+							if keyed := a.ID[0] == 'e'; keyed != (a.IdempotencyKey == "k7") || !keyed && a.IdempotencyKey != "" {
+								t.Errorf("part %s carries key %q", a.ID, a.IdempotencyKey)
+							}
+							if drained[n.ID()] {
+								last = time.Now()
+							}
+							c.Report(a, core.Result{Outcome: core.Served, Docs: [][]byte{[]byte("v")}})
+						}
+						mu.Unlock()
+						if o.Drop != nil {
+							c.Report(o.Drop, core.Result{Outcome: core.Dropped})
+						}
+						if o.Probe {
+							c.Probed(n, core.Result{Outcome: core.Served})
+						}
+					}
+				})
+				var list []core.Member
+				for i := range d.cells * d.perCell {
+					m := core.Member{ID: fmt.Sprint("n", i), Cell: i % d.cells, Zone: string('a' + rune(i/d.cells%2)), Weight: 1}
+					cell[m.ID] = m.Cell
+					list = append(list, m)
+				}
+				source := c.Source(membership.Spec{Name: "list"})
+				source.Replace(list, false)
+				number := 0
+				ask := func(class string, shards ...int) core.Answer {
+					number++
+					q := core.Query{ID: fmt.Sprint(class[:1], number), Class: class, Owner: d.owner, IdempotencyKey: "k7", Deadline: time.Now().Add(2 * time.Second)}
+					for _, s := range shards {
+						q.Parts = append(q.Parts, core.Part{Shard: s, Weight: 1 / float64(len(shards))})
+					}
+					answer, err := c.Ask(ctx, q)
+					if err != nil {
+						t.Errorf("%s: %v", class, err)
+					}
+					return answer
+				}
+				var all []int
+				for s := range d.shards {
+					all = append(all, s)
+				}
+				for range 20 {
+					for _, class := range []string{"board", "entry"} {
+						if a := ask(class, all...); a.Verdict != core.Answered || !a.Whole || len(a.Hits) != d.shards {
+							t.Errorf("%s: verdict %v, whole %v, %d of %d parts", class, a.Verdict, a.Whole, len(a.Hits), d.shards)
+						}
+					}
+				}
+				// All holders of shard 0 drain.
+				mu.Lock()
+				for i := range list {
+					if off := (list[i].Cell + d.cells) % d.cells; off < d.reach {
+						list[i].State, drained[list[i].ID] = core.Draining, true
+					}
+				}
+				mu.Unlock()
+				source.Change(list)
+				told := time.Now()
+				if a := ask("board", 0, d.cells-1); a.Verdict != core.Answered || a.Whole || len(a.Hits) != 1 {
+					t.Errorf("half of a board: verdict %v, whole %v, %d parts", a.Verdict, a.Whole, len(a.Hits))
+				}
+				if a := ask("entry", 0, d.cells-1); a.Verdict == core.Answered {
+					t.Errorf("an entry without one of its parts was answered")
+				}
+				if !last.IsZero() {
+					t.Errorf("a drained data node got a part %v after it was told; the grace is %v", last.Sub(told), d.grace)
+				}
+				if covered := c.Covered(); covered >= d.shards || covered == 0 {
+					t.Errorf("%d of %d shards count as held", covered, d.shards)
+				}
+				source.Replace(nil, false)
+				time.Sleep(time.Minute)
+				stop()
+			})
+		})
+	}
+}
