Membership among coordinators: the decisions (internal/swim), played as fleets in virtual time

All that coordinators do together wants to know who of them is there, who is cut off and from whom. A wrong answer does harm: a paused one that is taken for dead loses its duties, a dead one that counts holds everybody up.

Cuts one way are link reports, not deaths; from them each derives partly reachable, connected, split (majority or not), alone.

internal/lab/peersim plays it in virtual time with loss, doubles, disorder, cuts by direction, pauses, crashes, restarts.

--- /dev/null
+++ b/internal/swim/fleet_test.go
@@ -0,0 +1,255 @@
+package swim_test
+
+// Whole fleets in virtual time: crashes, pauses, lost and doubled packets, cuts one way and both, restarts, splits.
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gullfall/internal/lab/peersim"
+	"gullfall/internal/swim"
+)
+
+func fleet(t testing.TB, c peersim.Config) *peersim.Fleet {
+	t.Helper()
+	if c.Detect == "" {
+		c.Detect = "swim"
+	}
+	c.Delay, c.Jitter = max(c.Delay, 2*time.Millisecond), max(c.Jitter, 5*time.Millisecond)
+	f, err := peersim.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// settled runs until all views are equal and true, or fails.
+func settled(t testing.TB, f *peersim.Fleet, within time.Duration, what string) time.Duration {
+	t.Helper()
+	from := f.Now()
+	for f.Now() < from+within {
+		if f.Agreed() {
+			return f.Now() - from
+		}
+		f.Run(f.Now() + 100*time.Millisecond)
+	}
+	t.Errorf("%s: views still differ after %v", what, within)
+	return within
+}
+
+// bear is the longest pause that must do no harm by the defaults.
+const bear = 3 * time.Second
+
+// TestCrashIsKnownToAll: all start at once, a member dies, and all know it within the bound: a round of probes in which
+// it must have its turn, and a suspicion without confirmations.
+func TestCrashIsKnownToAll(t *testing.T) {
+	for _, n := range []int{2, 3, 10, 100} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			f := fleet(t, peersim.Config{Members: n, Seed: uint64(n)})
+			settled(t, f, 30*time.Second, "start")
+			bound := time.Duration(n)*time.Second + 4*f.View(0).Least()
+			_, all, ok := f.Detection(n-1, bound)
+			if !ok || f.FalseDead > 0 {
+				t.Errorf("known to all after %v (bound %v): %v; %d false deaths", all, bound, ok, f.FalseDead)
+			}
+			if err := f.Restart(n-1, 2); err != nil {
+				t.Fatal(err)
+			}
+			settled(t, f, 40*time.Second, "return under a new process")
+			if n > 2 {
+				if v := f.View(0).Verdict(); v.Kind != swim.Connected || v.Here != n || !v.Majority {
+					t.Errorf("verdict %+v", v)
+				}
+			}
+		})
+	}
+}
+
+// TestPausesAreBorne: a pause within the bound makes nobody dead, of one, of a fifth, and of all at once; one beyond it
+// does, and the member is back soon after it wakes.
+func TestPausesAreBorne(t *testing.T) {
+	for seed := range uint64(8) {
+		f := fleet(t, peersim.Config{Members: 20, Seed: seed, Loss: 0.05})
+		settled(t, f, 40*time.Second, "start")
+		f.Pause(3, bear)
+		f.Run(f.Now() + 20*time.Second)
+		for i := range 4 {
+			f.Pause(5*i, bear)
+		}
+		f.Run(f.Now() + 20*time.Second)
+		for i := range 20 {
+			f.Pause(i, bear+time.Duration(i)*50*time.Millisecond)
+		}
+		f.Run(f.Now() + 20*time.Second)
+		if f.FalseDead > 0 {
+			t.Errorf("seed %d: %d false deaths by pauses of %v", seed, f.FalseDead, bear)
+		}
+		f.Pause(7, time.Minute)
+		f.Run(f.Now() + 55*time.Second)
+		if f.KnownDead(7) < 15 {
+			t.Errorf("seed %d: %d take one for dead that was paused for 55 s", seed, f.KnownDead(7))
+		}
+		f.Run(f.Now() + 5*time.Second)
+		settled(t, f, 20*time.Second, "after a long pause")
+	}
+}
+
+// TestLossMakesNobodyDead: a fifth of all packets lost both ways, some doubled, all out of order.
+func TestLossMakesNobodyDead(t *testing.T) {
+	for seed := range uint64(4) {
+		f := fleet(t, peersim.Config{Members: 16, Seed: seed, Loss: 0.2, Twice: 0.1, Jitter: 100 * time.Millisecond})
+		f.Run(5 * time.Minute)
+		if f.FalseDead > 0 || !f.Agreed() {
+			t.Errorf("seed %d: %d false deaths; agreed %v", seed, f.FalseDead, f.Agreed())
+		}
+	}
+}
+
+// TestOneSidedCut: A hears B and B never hears A. Nobody dies of it, all come to the same report, and it is taken back.
+func TestOneSidedCut(t *testing.T) {
+	for seed := range uint64(4) {
+		f := fleet(t, peersim.Config{Members: 8, Seed: seed})
+		settled(t, f, 30*time.Second, "start")
+		f.Cut(1, 2, true)
+		f.Run(f.Now() + 2*time.Minute)
+		if f.FalseDead > 0 {
+			t.Errorf("seed %d: %d false deaths by a cut one way", seed, f.FalseDead)
+		}
+		for i := range 8 {
+			v := f.View(i)
+			if v.Reachable(peersim.Name(1), peersim.Name(2)) || !v.Reachable(peersim.Name(2), peersim.Name(1)) {
+				t.Errorf("seed %d: member %d holds 1 to 2 for %v and 2 to 1 for %v", seed, i, v.Reachable(peersim.Name(1), peersim.Name(2)), v.Reachable(peersim.Name(2), peersim.Name(1)))
+			}
+			for _, m := range v.Members() {
+				if want := m.Name == peersim.Name(1) || m.Name == peersim.Name(2); m.Partly != want {
+					t.Errorf("seed %d: member %d holds %s for partly reachable: %v", seed, i, m.Name, m.Partly)
+				}
+			}
+			if got := v.Verdict(); got.Kind != swim.Connected || got.Here != 8 {
+				t.Errorf("seed %d: member %d: verdict %+v: the others reach both", seed, i, got)
+			}
+		}
+		f.Cut(1, 2, false)
+		f.Run(f.Now() + 40*time.Second)
+		for i := range 8 {
+			if !f.View(i).Reachable(peersim.Name(1), peersim.Name(2)) {
+				t.Errorf("seed %d: member %d still holds the link for cut", seed, i)
+			}
+		}
+	}
+}
+
+// TestSplitAndHealing: five and three apart. Each side knows which is the majority, and all views are equal again soon.
+func TestSplitAndHealing(t *testing.T) {
+	for seed := range uint64(4) {
+		f := fleet(t, peersim.Config{Members: 8, Seed: seed})
+		settled(t, f, 30*time.Second, "start")
+		split := func(cut bool) {
+			for i := range 5 {
+				for j := 5; j < 8; j++ {
+					f.Cut(i, j, cut)
+					f.Cut(j, i, cut)
+				}
+			}
+		}
+		for i := range 8 {
+			f.Excuse(i, true)
+		}
+		split(true)
+		f.Run(f.Now() + 90*time.Second)
+		for i := range 8 {
+			v, here := f.View(i).Verdict(), 5
+			if i >= 5 {
+				here = 3
+			}
+			if v.Kind != swim.Split || v.Here != here || v.Known != 8 || v.Majority != (here == 5) {
+				t.Errorf("seed %d: member %d: verdict %+v, want split, %d of 8", seed, i, v, here)
+			}
+		}
+		split(false)
+		settled(t, f, 40*time.Second, "healing")
+	}
+}
+
+// TestProperties: over random schedules of crashes, restarts, pauses, loss and cuts, incarnations only grow, packets stay
+// bounded, and once all is whole again every view is equal and true within the bound.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(r, "members")
+		f := fleet(t, peersim.Config{Members: n, Seed: rapid.Uint64().Draw(r, "seed"), Twice: 0.05})
+		seen := map[string]uint64{}
+		down, process := map[int]bool{}, uint64(1)
+		for range rapid.IntRange(1, 12).Draw(r, "faults") {
+			i, j := rapid.IntRange(0, n-1).Draw(r, "who"), rapid.IntRange(0, n-1).Draw(r, "whom")
+			switch rapid.IntRange(0, 4).Draw(r, "fault") {
+			case 0:
+				f.Crash(i)
+				down[i] = true
+			case 1:
+				if down[i] {
+					process++
+					if err := f.Restart(i, process); err != nil {
+						r.Fatal(err)
+					}
+					delete(down, i)
+				}
+			case 2:
+				f.Pause(i, time.Duration(rapid.IntRange(100, 30_000).Draw(r, "ms"))*time.Millisecond)
+			case 3:
+				f.Cut(i, j, rapid.Bool().Draw(r, "cut"))
+			case 4:
+				f.Lose(rapid.Float64Range(0, 0.4).Draw(r, "loss"))
+			}
+			f.Run(f.Now() + time.Duration(rapid.IntRange(0, 20_000).Draw(r, "pass_ms"))*time.Millisecond)
+			for k := range n {
+				if down[k] {
+					continue
+				}
+				for _, m := range f.View(k).Members() {
+					if key := fmt.Sprint(k, process, m.Name); m.Incarnation < seen[key] {
+						r.Fatalf("%s fell back from incarnation %d to %d at %d", m.Name, seen[key], m.Incarnation, k)
+					} else {
+						seen[key] = m.Incarnation
+					}
+				}
+			}
+		}
+		f.Lose(0)
+		for i := range n {
+			for j := range n {
+				f.Cut(i, j, false)
+			}
+			if down[i] {
+				process++
+				if err := f.Restart(i, process); err != nil {
+					r.Fatal(err)
+				}
+			}
+		}
+		f.Run(f.Now() + 31*time.Second) // the longest pause
+		for from := f.Now(); !f.Agreed(); f.Run(f.Now() + time.Second) {
+			if f.Now() > from+2*time.Minute {
+				r.Fatalf("views still differ two minutes after all was whole")
+			}
+		}
+	})
+}
+
+// TestLoadIsFlat: what a member sends in a period does not grow with the fleet beyond what news and acks take.
+func TestLoadIsFlat(t *testing.T) {
+	var rates []float64
+	for _, n := range []int{10, 100} {
+		f := fleet(t, peersim.Config{Members: n, Seed: 1})
+		f.Run(60 * time.Second)
+		f.Packets = 0
+		f.Run(120 * time.Second)
+		rates = append(rates, float64(f.Packets)/float64(n)/60)
+	}
+	if math.Abs(rates[0]-rates[1]) > 0.5 || rates[1] > 4 {
+		t.Errorf("packets a second and member: %.2f of 10, %.2f of 100", rates[0], rates[1])
+	}
+}
