Coordinators talk: sealed packets, an admin socket, `gullfall peers`, and tests of eight processes

The decisions of internal/swim want a wire, a place in the daemon and a way for operators to look.

`gullfall peers [--json] [--watch]` and `peers forget`. [peers] and [admin] in deploy/gullfall.toml, off as it ships; SIGTERM says goodbye; addresses seen last are kept as seeds.

--- /dev/null
+++ b/cmd/gullfall-lab/peers.go
@@ -0,0 +1,341 @@
+package main
+
+// This file owns `gullfall-lab peers`: coordinators of the real program that watch each other behind fault proxies, stalled,
+// killed, cut one way and both, with lost, doubled and disordered packets; and with --sizes the same decisions in virtual
+// time against two baselines. It must never leave a process behind.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/peersim"
+	"gullfall/internal/lab/proxy"
+	"gullfall/internal/swim"
+)
+
+type peersCmd struct {
+	Coordinators int           `default:"8" help:"How many coordinators."`
+	For          time.Duration `default:"60s" help:"How long faults are played."`
+	Faults       int           `default:"0" help:"Stop after so many faults; 0 for none."`
+	Period       time.Duration `default:"200ms" help:"Of probes."`
+	Bear         time.Duration `default:"1500ms" help:"The longest pause that must not make a coordinator dead."`
+	Seed         uint64        `default:"1" help:"Settles the faults."`
+	Binary       string        `help:"The gullfall to play; beside this program by default."`
+	JSON         string        `name:"json" help:"Write the figures here."`
+	Sizes        []int         `help:"Instead: play fleets of these sizes in virtual time against the baselines."`
+	Plots        string        `help:"With --sizes: write plots against loss into this folder."`
+}
+
+// peersReport is what a play showed.
+type peersReport struct {
+	Coordinators int     `json:"coordinators"`
+	Faults       int     `json:"faults"`
+	FalseDead    int     `json:"false_dead"` // by faults within the bounds: pauses up to --bear, loss up to 20%, cuts one way
+	DetectP50MS  float64 `json:"detect_p50_ms"`
+	DetectP99MS  float64 `json:"detect_p99_ms"` // dead to known by all
+	HealP99MS    float64 `json:"heal_p99_ms"`   // all views equal again
+	Disagree     int     `json:"disagree"`      // once the network is whole
+	BytesPerS    float64 `json:"bytes_per_s"`   // a member
+	CPUShare     float64 `json:"cpu_share"`     // of a core, a member
+	Deaths       int     `json:"deaths"`
+	Seed         uint64  `json:"seed"`
+}
+
+func (p *peersCmd) Run() error {
+	if len(p.Sizes) > 0 {
+		return p.sizes()
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(2*p.For+2*time.Minute))
+	defer cancel()
+	f, err := fleet.StartPeers(ctx, fleet.PeersOptions{Coordinators: p.Coordinators, Period: p.Period, Timeout: p.Period / 4,
+		Bear: p.Bear, Binary: binary(p.Binary), Seed: p.Seed})
+	defer func() {
+		if f != nil {
+			f.Stop()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	r, err := p.play(ctx, f)
+	fmt.Printf("%12s %6s %10s %14s %14s %12s %8s %11s %9s\n", "coordinators", "faults", "false_dead", "detect_p50_ms", "detect_p99_ms", "heal_p99_ms", "disagree", "bytes_per_s", "cpu_share")
+	fmt.Printf("%12d %6d %10d %14.0f %14.0f %12.0f %8d %11.0f %9.4f\n", r.Coordinators, r.Faults, r.FalseDead, r.DetectP50MS, r.DetectP99MS, r.HealP99MS, r.Disagree, r.BytesPerS, r.CPUShare)
+	if err := errors.Join(err, writeJSON(p.JSON, r)); err != nil {
+		return err
+	}
+	if r.FalseDead > 0 || r.Disagree > 0 {
+		return fmt.Errorf("%d false deaths, %d disagreements", r.FalseDead, r.Disagree)
+	}
+	return nil
+}
+
+// play plays faults one after the other; after each, all views must be equal and true again.
+func (p *peersCmd) play(ctx context.Context, f *fleet.Peers) (r peersReport, err error) {
+	r = peersReport{Coordinators: p.Coordinators, Seed: p.Seed}
+	rng := rand.New(rand.NewPCG(p.Seed, 0xfa17))
+	const longest = 60 * time.Second
+	if _, err := f.Until(ctx, time.Now().Add(longest)); err != nil {
+		return r, fmt.Errorf("at the start: %w", err)
+	}
+	var detects, heals []time.Duration
+	began, cpu, bytes := time.Now(), p.cpu(f), p.bytes(ctx, f)
+	// excused deaths are those that a fault within no bound makes: a crash, both ways cut, a long pause.
+	deaths := func() (n int) {
+		for i := range p.Coordinators {
+			n += f.Died(fleet.PeerName(i))
+		}
+		return n
+	}
+	n := p.Coordinators
+	for end := time.Now().Add(p.For); time.Now().Before(end) && ctx.Err() == nil && (p.Faults == 0 || r.Faults < p.Faults); {
+		r.Faults++
+		i, j := rng.IntN(n), rng.IntN(n-1)
+		if j >= i {
+			j++
+		}
+		before, excused := deaths(), false
+		what := ""
+		switch rng.IntN(8) {
+		case 0, 1:
+			d := p.Bear/4 + time.Duration(rng.Int64N(int64(p.Bear*3/4)))
+			what = fmt.Sprintf("one stalled for %v", d)
+			f.Stall(i, true)
+			time.Sleep(d)
+			err = f.Stall(i, false)
+		case 2:
+			what = "a fifth stalled"
+			some := rng.Perm(n)[:max(1, n/5)]
+			for _, k := range some {
+				f.Stall(k, true)
+			}
+			time.Sleep(p.Bear * 3 / 4)
+			for _, k := range some {
+				err = errors.Join(err, f.Stall(k, false))
+			}
+		case 3:
+			what = "all stalled"
+			for k := range n {
+				f.Stall(k, true)
+			}
+			time.Sleep(p.Bear)
+			for k := range n {
+				err = errors.Join(err, f.Stall(k, false))
+			}
+		case 4:
+			loss := proxy.Loss{Lost: 0.2 * rng.Float64(), Twice: 0.1, Delay: time.Millisecond, Reorder: 20 * time.Millisecond}
+			what = fmt.Sprintf("%.0f%% lost", 100*loss.Lost)
+			f.Set(loss)
+			time.Sleep(10 * p.Period)
+			f.Set(proxy.Loss{})
+		case 5:
+			what = "cut one way"
+			f.Cut(i, j, true)
+			time.Sleep(15 * p.Period)
+			f.Cut(i, j, false)
+		case 6:
+			what, excused = "one killed", true
+			from := time.Now()
+			if err := f.Kill(i); err != nil {
+				return r, err
+			}
+			took, err := f.Until(ctx, time.Now().Add(longest))
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "fault %d, %s: %v\n", r.Faults, what, err)
+				r.Disagree++
+			}
+			detects = append(detects, took)
+			_ = from
+			if err := f.Start(ctx, i); err != nil {
+				return r, err
+			}
+		case 7:
+			what, excused = "split", true
+			side := rng.Perm(n)[:1+rng.IntN(n/2)]
+			for _, a := range side {
+				for b := range n {
+					if !slices.Contains(side, b) {
+						f.Cut(a, b, true)
+						f.Cut(b, a, true)
+					}
+				}
+			}
+			time.Sleep(time.Duration(rng.Int64N(int64(40 * p.Period))))
+			for a := range n {
+				for b := range n {
+					if a != b {
+						f.Cut(a, b, false)
+					}
+				}
+			}
+		}
+		if err != nil {
+			return r, err
+		}
+		took, uerr := f.Until(ctx, time.Now().Add(longest))
+		heals = append(heals, took)
+		if uerr != nil {
+			fmt.Fprintf(os.Stderr, "fault %d, %s: %v\n", r.Faults, what, uerr)
+			r.Disagree++
+		}
+		got := deaths() - before
+		if r.Deaths += max(got, 0); got > 0 && !excused {
+			fmt.Fprintf(os.Stderr, "fault %d, %s: %d took another for dead\n", r.Faults, what, got)
+			r.FalseDead += got
+		}
+	}
+	took := time.Since(began).Seconds()
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	r.DetectP50MS, r.DetectP99MS = ms(peersim.Quantile(detects, 0.5)), ms(peersim.Quantile(detects, 0.99))
+	r.HealP99MS = ms(peersim.Quantile(heals, 0.99))
+	r.BytesPerS = max(0, float64(p.bytes(ctx, f)-bytes)) / took / float64(n)
+	r.CPUShare = max(0, p.cpu(f)-cpu) / took / float64(n)
+	return r, nil
+}
+
+// bytes is what all have sent.
+func (p *peersCmd) bytes(ctx context.Context, f *fleet.Peers) (n int64) {
+	for i := range p.Coordinators {
+		if v, err := f.View(ctx, i); err == nil {
+			n += v.BytesSent
+		}
+	}
+	return n
+}
+
+// cpu is the processor time of all that run, in seconds; a process that was started anew counts from its start.
+func (p *peersCmd) cpu(f *fleet.Peers) (s float64) {
+	for _, c := range f.Coords {
+		raw, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(c.Pid()), "stat"))
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(raw), ") ")
+		if words := strings.Fields(rest); len(words) > 12 {
+			user, _ := strconv.ParseFloat(words[11], 64)
+			system, _ := strconv.ParseFloat(words[12], 64)
+			s += (user + system) / 100
+		}
+	}
+	return s
+}
+
+// sizeRow is one fleet in virtual time.
+type sizeRow struct {
+	Members     int     `json:"members"`
+	Detect      string  `json:"detect"`
+	Loss        float64 `json:"loss"`
+	FalseDead   int     `json:"false_dead"`
+	DetectP50MS float64 `json:"detect_p50_ms"` // a crash known to half
+	DetectMS    float64 `json:"detect_all_ms"` // and to all
+	PacketsS    float64 `json:"packets_per_s"` // a member
+	BytesS      float64 `json:"bytes_per_s"`
+}
+
+// sizes plays fleets in virtual time: pauses and loss for two minutes, then three crashes.
+func (p *peersCmd) sizes() error {
+	var rows []sizeRow
+	fmt.Printf("%8s %-10s %5s %10s %14s %14s %10s %9s\n", "members", "detect", "loss", "false_dead", "detect_p50_ms", "detect_all_ms", "packets/s", "bytes/s")
+	for _, n := range p.Sizes {
+		for _, loss := range []float64{0, 0.1, 0.2, 0.4} {
+			for _, detect := range []string{"swim", "plain", "heartbeat"} {
+				if detect == "heartbeat" && n > 1000 || loss > 0 && loss != 0.2 && n > 300 {
+					continue // n*n packets a second; and time
+				}
+				row, err := p.size(n, loss, detect)
+				if err != nil {
+					return err
+				}
+				rows = append(rows, row)
+				fmt.Printf("%8d %-10s %5.2f %10d %14.0f %14.0f %10.2f %9.0f\n", row.Members, row.Detect, row.Loss, row.FalseDead, row.DetectP50MS, row.DetectMS, row.PacketsS, row.BytesS)
+				runtime.GC()
+			}
+		}
+	}
+	if p.Plots != "" {
+		if err := plotSizes(p.Plots, rows); err != nil {
+			return err
+		}
+	}
+	return writeJSON(p.JSON, map[string]any{"rows": rows, "seed": p.Seed})
+}
+
+func (p *peersCmd) size(n int, loss float64, detect string) (row sizeRow, err error) {
+	row = sizeRow{Members: n, Detect: detect, Loss: loss}
+	f, err := peersim.New(peersim.Config{Members: n, Seed: p.Seed, Detect: detect, Fixed: 5 * time.Second, Delay: 2 * time.Millisecond,
+		Jitter: 5 * time.Millisecond, Swim: swim.Config{Period: time.Second}})
+	if err != nil {
+		return row, err
+	}
+	f.Run(40 * time.Second)
+	rng := rand.New(rand.NewPCG(p.Seed, uint64(n)))
+	f.Lose(loss)
+	packets, bytes, from, before := f.Packets, f.Bytes, f.Now(), f.FalseDead
+	for f.Now() < from+2*time.Minute {
+		for range max(1, n/20) { // one in twenty stands still for up to 3 s, every 10 s
+			f.Pause(rng.IntN(n), time.Duration(rng.Int64N(int64(3*time.Second))))
+		}
+		f.Run(f.Now() + 10*time.Second)
+	}
+	span := (f.Now() - from).Seconds()
+	row.FalseDead = f.FalseDead - before
+	row.PacketsS, row.BytesS = float64(f.Packets-packets)/span/float64(n), float64(f.Bytes-bytes)/span/float64(n)
+	var half, all []time.Duration
+	for k := range min(3, n/3) {
+		h, a, _ := f.Detection(n-1-k, 3*time.Minute)
+		half, all = append(half, h), append(all, a)
+	}
+	row.DetectP50MS = float64(peersim.Quantile(half, 0.5).Milliseconds())
+	row.DetectMS = float64(peersim.Quantile(all, 0.5).Milliseconds())
+	return row, nil
+}
+
+// plotSizes draws false deaths and detection against loss, for each size.
+func plotSizes(dir string, rows []sizeRow) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for _, of := range []struct {
+		name, label string
+		value       func(sizeRow) float64
+	}{{"false_dead", "members taken for dead that were not", func(r sizeRow) float64 { return float64(r.FalseDead) }},
+		{"detection", "crash known to all, s", func(r sizeRow) float64 { return r.DetectMS / 1000 }}} {
+		pic := plot.New()
+		pic.Title.Text, pic.X.Label.Text, pic.Y.Label.Text = of.name, "share of packets lost", of.label
+		lines := map[string]plotter.XYs{}
+		var names []string
+		for _, r := range rows {
+			name := fmt.Sprintf("%s, %d", r.Detect, r.Members)
+			if lines[name] == nil {
+				names = append(names, name)
+			}
+			lines[name] = append(lines[name], plotter.XY{X: r.Loss, Y: of.value(r)})
+		}
+		for i, name := range names {
+			line, points, err := plotter.NewLinePoints(lines[name])
+			if err != nil {
+				return err
+			}
+			line.Dashes = [][]vg.Length{nil, {vg.Points(4), vg.Points(2)}, {vg.Points(1), vg.Points(2)}}[i%3]
+			pic.Add(line, points)
+			pic.Legend.Add(name, line)
+		}
+		if err := pic.Save(18*vg.Centimeter, 12*vg.Centimeter, filepath.Join(dir, of.name+".png")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -20,10 +20,12 @@
 	"syscall"
 	"time"
 
+	"gullfall/internal/admin"
 	"gullfall/internal/config"
 	"gullfall/internal/core"
 	"gullfall/internal/dnssd"
 	"gullfall/internal/flight"
+	"gullfall/internal/gossip"
 	"gullfall/internal/membership"
 	"gullfall/internal/platform"
 	"gullfall/internal/store"
@@ -122,6 +124,17 @@
 	if err := findNodes(ctx, deploy, cfg, c, log, slots, kept); err != nil {
 		return err
 	}
+	talk, err := startPeers(deploy, cfg, log, kept)
+	if err != nil {
+		return err
+	}
+	var operators *admin.Server
+	if deploy.Admin.Socket != "" {
+		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk), log); err != nil {
+			return err
+		}
+		defer operators.Close()
+	}
 	var second *flight.Server
 	var own *dnssd.Service
 	served := make(chan error, 2)
@@ -130,7 +143,7 @@
 			return err
 		}
 	}
-	go reload(ctx, reloads, cfg, watch, second, c, log)
+	go reload(ctx, reloads, cfg, watch, second, c, talk, log)
 
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -153,6 +166,10 @@
 	case s := <-signals:
 		log.Info("draining", "signal", s)
 	}
+	if talk != nil {
+		talk.Leave()
+		defer talk.Close()
+	}
 	if own != nil {
 		own.Withdraw() // first of all: who finds us by our records is to find another
 	}
@@ -174,7 +191,7 @@
 // nodes still counts then. A faulty one changes nothing. Of our own file the second front's people, keys and limits hold
 // at once, where it was on at the start.
 func reload(ctx context.Context, signals <-chan os.Signal, cfg config.Config, watch *platform.Watch, second *flight.Server,
-	c *core.Core, log *slog.Logger) {
+	c *core.Core, talk *gossip.Gossip, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -186,7 +203,7 @@
 			log.Error("configuration not taken; the old one stays", "cause", err)
 			continue
 		}
-		if second != nil || c.Zones() != nil {
+		if second != nil || c.Zones() != nil || talk != nil {
 			deploy, err := config.LoadDeploy(config.DeployFile, cfg.Name)
 			if err == nil && second != nil {
 				err = second.Reload(deploy.Flight.People(), deploy.Flight.Keys(), deploy.Flight.Door())
@@ -194,6 +211,9 @@
 			if err == nil && c.Zones() != nil {
 				err = c.DrainZones(deploy.Zones.Drained)
 			}
+			if err == nil && talk != nil {
+				err = talk.SetKeys(deploy.Peers.Keys())
+			}
 			if err != nil {
 				log.Error("configuration not taken; the old one stays", "cause", err)
 				continue
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -25,7 +25,8 @@
 // DeployFile is where the file of ours lies, seen from the repository's root.
 const DeployFile = "deploy/gullfall.toml"
 
-// Deploy is what our own file says: the log, the second front, the records, who is there, and the store.
+// Deploy is what our own file says: the log, the second front, the records, who is there, the store, and the talk among
+// coordinators.
 type Deploy struct {
 	Log        Log
 	Flight     FlightFront
@@ -34,6 +35,8 @@
 	Node       []Node
 	Store      Store
 	Zones      Zones
+	Peers      Peers
+	Admin      Admin
 }
 
 // Zones is how a zone that fails as a whole is left, and how fast work goes back. Each coordinator decides from its
@@ -250,6 +253,7 @@
 			fault("%s: cell or weight is negative", key)
 		}
 	}
+	faults = append(faults, d.Peers.check()...)
 	addr("store.listen", d.Store.Listen)
 	self := false
 	for i, p := range d.Store.Peer {
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,428 @@
+package gossip
+
+// This file owns the sockets and the one goroutine that steps the decisions. Deadlines are absolute. It must never
+// block that goroutine on a peer, hold more than a bounded number of exchanges, or listen outside its one address.
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"gullfall/internal/swim"
+)
+
+const (
+	mostPacket    = 1400    // bytes of a packet, its seal included
+	mostExchange  = 4 << 20 // and of an exchange
+	mostExchanges = 8       // that are open at once, each way
+	queued        = 1024    // packets that wait for their turn
+)
+
+// Options are what the talk is started with.
+type Options struct {
+	Swim  swim.Config
+	Fleet string
+	Keys  []Key
+	// Routes are addresses of members that are reached by another from here, as through a tunnel.
+	Routes map[string]string
+	Log    *slog.Logger
+	// Changed is called for each change, in order, from the goroutine that decides; it must not block. It may be nil.
+	Changed func(swim.Change)
+	// Keep takes in the addresses of those that are there, as seeds for a later start. It may be nil.
+	Keep func(addrs []string)
+}
+
+// Gossip is one coordinator's part in the talk.
+type Gossip struct {
+	o       Options
+	ring    *ring
+	s       *swim.Swim
+	start   time.Time
+	pc      net.PacketConn
+	ln      net.Listener
+	in      chan input
+	places  chan struct{} // exchanges that we have begun
+	served  chan struct{} // and that others have
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	limit   *rate.Limiter
+	untold  int
+	refused string
+	Drops   Drops
+	Traffic Traffic
+}
+
+// Drops counts what came in and was not used.
+type Drops struct{ Seal, Version, Replay, Form, Full atomic.Int64 }
+
+// Traffic counts bytes and packets.
+type Traffic struct{ PacketsOut, PacketsIn, BytesOut, BytesIn atomic.Int64 }
+
+// input is what the deciding goroutine takes in; one field is set.
+type input struct {
+	event swim.Event
+	reply chan *swim.Full // the answer to an exchange that another has begun
+	look  func(*swim.Swim)
+	done  chan struct{}
+}
+
+// Start listens and begins to join. The listener is given back by Close.
+func Start(o Options) (*Gossip, error) {
+	g := &Gossip{o: o, start: time.Now(), in: make(chan input, queued), places: make(chan struct{}, mostExchanges),
+		served: make(chan struct{}, mostExchanges), limit: rate.NewLimiter(10, 40)}
+	var err error
+	if g.ring, err = newRing(o.Fleet, o.Swim.Process, o.Keys); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	o.Swim.Packet = mostPacket - overhead - 300 // beside the head of a message
+	if g.s, err = swim.New(o.Swim, 0); err != nil {
+		return nil, err
+	}
+	if g.pc, err = net.ListenPacket("udp", o.Swim.Addr); err != nil {
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	if g.ln, err = net.Listen("tcp", o.Swim.Addr); err != nil {
+		g.pc.Close()
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.wg.Go(g.run)
+	g.wg.Go(g.packets)
+	g.wg.Go(g.accept)
+	return g, nil
+}
+
+// Close ends the talk without a goodbye; see Leave.
+func (g *Gossip) Close() {
+	g.stop()
+	g.pc.Close()
+	g.ln.Close()
+	g.wg.Wait()
+}
+
+// Leave says goodbye; the others hear of it within some periods, by those that are told now.
+func (g *Gossip) Leave() {
+	g.put(input{event: swim.Event{Leave: true}})
+}
+
+// Forget is an operator's word that a dead member is gone for good.
+func (g *Gossip) Forget(name string) { g.put(input{event: swim.Event{Forget: name}}) }
+
+// SetKeys replaces the keys: the first seals, all open.
+func (g *Gossip) SetKeys(keys []Key) error { return g.ring.set(keys) }
+
+// Look lets f read the view, between two steps. It returns false where the talk has ended.
+func (g *Gossip) Look(f func(*swim.Swim)) bool {
+	done := make(chan struct{})
+	select {
+	case g.in <- input{look: f, done: done}:
+	case <-g.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-g.ctx.Done():
+		return false
+	}
+}
+
+// Since is how long the talk runs: the clock of what Look shows.
+func (g *Gossip) Since() time.Duration { return time.Since(g.start) }
+
+func (g *Gossip) put(in input) {
+	select {
+	case g.in <- in:
+	case <-g.ctx.Done():
+	}
+}
+
+// run steps the decisions.
+func (g *Gossip) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var ins []input
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-timer.C:
+		case in := <-g.in:
+			ins = append(ins, in)
+		}
+		for more := true; more && len(ins) < 64; {
+			select {
+			case in := <-g.in:
+				ins = append(ins, in)
+			default:
+				more = false
+			}
+		}
+		var events []swim.Event
+		step := func() {
+			g.do(g.s.Step(g.Since(), events...), nil)
+			events = nil
+		}
+		for _, in := range ins {
+			switch {
+			case in.look != nil:
+				step()
+				in.look(g.s)
+				close(in.done)
+			case in.reply != nil:
+				step()
+				g.do(g.s.Step(g.Since(), in.event), in.reply)
+			default:
+				events = append(events, in.event)
+			}
+		}
+		step()
+		timer.Reset(g.s.Next() - g.Since())
+	}
+}
+
+// do carries out what was decided.
+func (g *Gossip) do(actions []swim.Action, reply chan *swim.Full) {
+	moved := false
+	for _, a := range actions {
+		switch {
+		case a.Packet != nil:
+			g.send(a.To, a.Packet)
+		case a.Full != nil && a.Full.Reply:
+			if reply != nil {
+				select {
+				case reply <- a.Full:
+				default:
+				}
+			}
+		case a.Full != nil:
+			g.begin(a.To, a.Full)
+		case a.Change != nil:
+			moved = moved || a.Change.Name != "" && a.Change.LinkFrom == ""
+			g.tell(*a.Change)
+		}
+	}
+	if why := g.s.Refused(); why != g.refused {
+		if g.refused = why; why != "" {
+			g.o.Log.Error("refused by the other coordinators", "why", why)
+		} else {
+			g.o.Log.Info("no longer refused by the other coordinators")
+		}
+	}
+	if moved && g.o.Keep != nil {
+		var addrs []string
+		for _, m := range g.s.Members() {
+			if m.State <= swim.Suspect && m.Name != g.o.Swim.Self {
+				addrs = append(addrs, m.Addr)
+			}
+		}
+		g.o.Keep(addrs)
+	}
+}
+
+// tell logs a change, limited in rate, and passes it on.
+func (g *Gossip) tell(c swim.Change) {
+	if g.o.Changed != nil {
+		g.o.Changed(c)
+	}
+	if !g.limit.Allow() {
+		g.untold++
+		return
+	}
+	level, msg := slog.LevelInfo, ""
+	args := []any{}
+	switch {
+	case c.Name == "":
+		if msg = "coordinators are " + c.Verdict.Kind.String(); c.Verdict.Kind != swim.Connected {
+			level = slog.LevelWarn
+		}
+		args = append(args, "here", c.Verdict.Here, "known", c.Verdict.Known, "majority", c.Verdict.Majority)
+	case c.LinkFrom != "":
+		if msg = "coordinators reach each other again"; c.Cut {
+			msg, level = "coordinators do not reach each other", slog.LevelWarn
+		}
+		args = append(args, "from", c.LinkFrom, "to", c.Name, "why", c.Why)
+	default:
+		if msg = "coordinator " + c.State.String(); c.State == swim.Dead {
+			level = slog.LevelWarn
+		}
+		args = append(args, "name", c.Name, "was", c.Was.String(), "why", c.Why)
+		if c.New {
+			args[3] = "new"
+		}
+	}
+	if g.untold > 0 {
+		args = append(args, "untold", g.untold)
+		g.untold = 0
+	}
+	g.o.Log.Log(g.ctx, level, msg, args...)
+}
+
+// route is the address by which a member's is reached from here.
+func (g *Gossip) route(addr string) string {
+	if via, ok := g.o.Routes[addr]; ok {
+		return via
+	}
+	return addr
+}
+
+func (g *Gossip) send(to string, m *swim.Message) {
+	raw := g.ring.seal(AppendMessage(nil, m))
+	addr, err := net.ResolveUDPAddr("udp", g.route(to))
+	if err != nil || !addr.IP.IsLoopback() || len(raw) > mostPacket {
+		g.Drops.Form.Add(1)
+		return
+	}
+	if _, err := g.pc.WriteTo(raw, addr); err == nil { // what can't be sent is lost, as packets are
+		g.Traffic.PacketsOut.Add(1)
+		g.Traffic.BytesOut.Add(int64(len(raw)))
+	}
+}
+
+// packets reads what comes by UDP.
+func (g *Gossip) packets() {
+	buf := make([]byte, mostPacket+1)
+	for {
+		n, _, err := g.pc.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil || n > mostPacket {
+			g.Drops.Form.Add(1)
+			continue
+		}
+		g.Traffic.PacketsIn.Add(1)
+		g.Traffic.BytesIn.Add(int64(n))
+		m, _ := g.decode(buf[:n])
+		if m == nil {
+			continue
+		}
+		select {
+		case g.in <- input{event: swim.Event{Packet: m}}:
+		default:
+			g.Drops.Full.Add(1) // as a socket's buffer drops
+		}
+	}
+}
+
+// decode opens what came in, and counts what is of no use.
+func (g *Gossip) decode(raw []byte) (m *swim.Message, f *swim.Full) {
+	plain, err := g.ring.open(raw)
+	if err == nil {
+		m, f, err = Decode(plain)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, errOther):
+		g.Drops.Version.Add(1)
+	case errors.Is(err, errReplay):
+		g.Drops.Replay.Add(1)
+	case errors.Is(err, errSeal):
+		g.Drops.Seal.Add(1)
+	default:
+		g.Drops.Form.Add(1)
+	}
+	return m, f
+}
+
+// begin exchanges all that is known with another; where as many are open as may be, a later one does.
+func (g *Gossip) begin(to string, f *swim.Full) {
+	select {
+	case g.places <- struct{}{}:
+	default:
+		return
+	}
+	end := time.Now().Add(max(4*g.s.Patience(), time.Second))
+	g.wg.Go(func() {
+		defer func() { <-g.places }()
+		ctx, cancel := context.WithDeadline(g.ctx, end)
+		defer cancel()
+		var d net.Dialer
+		nc, err := d.DialContext(ctx, "tcp", g.route(to))
+		if err != nil {
+			return // the next one goes elsewhere
+		}
+		defer nc.Close()
+		defer context.AfterFunc(ctx, func() { nc.Close() })()
+		nc.SetDeadline(end)
+		if g.write(nc, f) != nil {
+			return
+		}
+		if answer := g.readFull(nc); answer != nil {
+			g.put(input{event: swim.Event{Full: answer}})
+		}
+	})
+}
+
+// accept serves the exchanges that others begin.
+func (g *Gossip) accept() {
+	for {
+		nc, err := g.ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		select {
+		case g.served <- struct{}{}:
+		default:
+			nc.Close()
+			continue
+		}
+		end := time.Now().Add(2 * time.Second)
+		g.wg.Go(func() {
+			defer func() { <-g.served }()
+			defer nc.Close()
+			defer context.AfterFunc(g.ctx, func() { nc.Close() })()
+			nc.SetDeadline(end)
+			f := g.readFull(nc)
+			if f == nil || f.Reply {
+				return
+			}
+			reply := make(chan *swim.Full, 1)
+			g.put(input{event: swim.Event{Full: f}, reply: reply})
+			select {
+			case answer := <-reply:
+				g.write(nc, answer)
+			case <-time.After(time.Until(end)):
+			case <-g.ctx.Done():
+			}
+		})
+	}
+}
+
+func (g *Gossip) write(nc net.Conn, f *swim.Full) error {
+	raw := g.ring.seal(AppendFull(nil, f))
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(raw)))
+	_, err := nc.Write(append(frame, raw...))
+	g.Traffic.BytesOut.Add(int64(len(raw) + 4))
+	return err
+}
+
+// readFull reads one exchange; nil for none that is of use.
+func (g *Gossip) readFull(nc net.Conn) *swim.Full {
+	in := bufio.NewReader(nc)
+	var size uint32
+	if binary.Read(in, binary.BigEndian, &size) != nil || size > mostExchange {
+		return nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(in, int64(size))) // grows with what comes
+	if err != nil || len(raw) < int(size) {
+		return nil
+	}
+	g.Traffic.BytesIn.Add(int64(size) + 4)
+	_, f := g.decode(raw)
+	return f
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,210 @@
+package gossip
+
+// The encoding, the seal, and two of us on loopback.
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gullfall/internal/swim"
+)
+
+var sample = swim.Update{Name: "n1", Addr: "127.0.0.1:7946", Process: 1 << 60, Incarnation: 300, State: swim.Suspect, By: "n2"}
+
+func messages() []*swim.Message {
+	return []*swim.Message{
+		{Kind: swim.Ping, Seq: 7, From: sample, Target: "n2"},
+		{Kind: swim.PingReq, Seq: 1<<32 - 1, From: sample, Target: "n3", Addr: "127.0.0.3:1"},
+		{Kind: swim.Ack, From: sample, Via: "n4", Updates: []swim.Update{sample, {Name: "x", Addr: "y", State: swim.Left}},
+			Links: []swim.Link{{From: "a", To: "b", By: "a", Version: 1<<32 - 1, Cut: true}, {From: "b", To: "a", By: "a"}}},
+		{Kind: swim.Nack, From: sample},
+		{Kind: swim.Refuse, From: sample, Reason: strings.Repeat("r", 255)},
+	}
+}
+
+// TestEncoding: what goes in comes out, within the size that was reckoned with; any cut of it is no message.
+func TestEncoding(t *testing.T) {
+	for _, m := range messages() {
+		raw := AppendMessage(nil, m)
+		got, _, err := Decode(raw)
+		if diff := cmp.Diff(m, got); err != nil || diff != "" {
+			t.Errorf("error %v (-want +got)\n%s", err, diff)
+		}
+		if len(raw) > m.Size() {
+			t.Errorf("%d bytes; %d were reckoned with", len(raw), m.Size())
+		}
+		for n := range raw {
+			if _, _, err := Decode(raw[:n]); !errors.Is(err, errForm) {
+				t.Errorf("cut at %d of %d: error %v", n, len(raw), err)
+			}
+		}
+		if _, _, err := Decode(append(raw, 0)); !errors.Is(err, errForm) {
+			t.Errorf("a byte too many: error %v", err)
+		}
+	}
+	full := &swim.Full{From: sample, Reply: true, Refused: "why", Members: []swim.Update{sample}, Links: []swim.Link{{From: "a", To: "b", By: "b", Cut: true}}}
+	raw := AppendFull(nil, full)
+	_, got, err := Decode(raw)
+	if diff := cmp.Diff(full, got); err != nil || diff != "" || len(raw) > full.Size() {
+		t.Errorf("error %v, %d bytes of %d (-want +got)\n%s", err, len(raw), full.Size(), diff)
+	}
+}
+
+// FuzzDecode: whatever comes in, it is a message that encodes to itself, or none. It never allocates for a count that can't be.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		f.Add(AppendMessage(nil, m))
+	}
+	f.Add(AppendFull(nil, &swim.Full{From: sample, Members: []swim.Update{sample}}))
+	f.Add([]byte{fullKind, 0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, full, err := Decode(raw)
+		switch {
+		case err != nil && (m != nil || full != nil):
+			t.Fatal("an error and a message")
+		case m != nil:
+			again, _, err := Decode(AppendMessage(nil, m))
+			if diff := cmp.Diff(m, again); err != nil || diff != "" {
+				t.Fatalf("error %v\n%s", err, diff)
+			}
+		case full != nil:
+			_, again, err := Decode(AppendFull(nil, full))
+			if diff := cmp.Diff(full, again); err != nil || diff != "" {
+				t.Fatalf("error %v\n%s", err, diff)
+			}
+		}
+	})
+}
+
+func key(id byte, c string) Key { return Key{ID: id, Secret: []byte(strings.Repeat(c, 16))} }
+
+func newTestRing(t *testing.T, fleet string, process uint64, keys ...Key) *ring {
+	t.Helper()
+	r, err := newRing(fleet, process, keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestSeal: who opens what: keys are rotated by adding, sealing with the new one, and removing; another fleet's, another
+// version's, spoilt and repeated packets are not taken.
+func TestSeal(t *testing.T) {
+	from := newTestRing(t, "f", 1, key(1, "a"))
+	raw := from.seal([]byte("hello"))
+	for _, c := range []struct {
+		name  string
+		fleet string
+		keys  []Key
+		spoil func([]byte)
+		want  error
+	}{
+		{"the same key", "f", []Key{key(1, "a")}, nil, nil},
+		{"a new key seals, the old one opens", "f", []Key{key(2, "b"), key(1, "a")}, nil, nil},
+		{"the old key is gone", "f", []Key{key(2, "b")}, nil, errSeal},
+		{"another secret under the id", "f", []Key{key(1, "c")}, nil, errSeal},
+		{"another fleet", "g", []Key{key(1, "a")}, nil, errSeal},
+		{"another version", "f", []Key{key(1, "a")}, func(b []byte) { b[0]++ }, errOther},
+		{"a spoilt byte", "f", []Key{key(1, "a")}, func(b []byte) { b[len(b)-1]++ }, errSeal},
+	} {
+		b := append([]byte(nil), raw...)
+		if c.spoil != nil {
+			c.spoil(b)
+		}
+		to := newTestRing(t, c.fleet, 2, c.keys...)
+		got, err := to.open(b)
+		if !errors.Is(err, c.want) || c.want == nil && string(got) != "hello" {
+			t.Errorf("%s: %q, error %v, want %v", c.name, got, err, c.want)
+		}
+		if _, err := to.open(b); err == nil {
+			t.Errorf("%s: taken twice", c.name)
+		}
+	}
+	if _, err := newRing("f", 1, []Key{{ID: 1, Secret: []byte("short")}}); err == nil || strings.Contains(err.Error(), "short") {
+		t.Errorf("a short key: %v", err)
+	}
+}
+
+// TestReplay: packets may come in any order within 64, each once; what is older is not taken.
+func TestReplay(t *testing.T) {
+	from, to := newTestRing(t, "f", 1, key(1, "a")), newTestRing(t, "f", 2, key(1, "a"))
+	var sent [][]byte
+	for range 100 {
+		sent = append(sent, from.seal(nil))
+	}
+	for _, c := range []struct {
+		n  int
+		ok bool
+	}{{50, true}, {40, true}, {50, false}, {99, true}, {36, true}, {35, false}, {98, true}, {98, false}, {40, false}} {
+		if _, err := to.open(sent[c.n]); (err == nil) != c.ok {
+			t.Errorf("packet %d: error %v, want taken %v", c.n, err, c.ok)
+		}
+	}
+}
+
+// TestTwo: two of us meet by a seed; a foreign packet is counted and dropped; a key is rotated without a gap; a goodbye is
+// heard; and all is given back.
+func TestTwo(t *testing.T) {
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	seed := free()
+	start := func(name, addr string, keys ...Key) *Gossip {
+		g, err := Start(Options{Fleet: "f", Keys: keys, Log: slog.New(slog.DiscardHandler),
+			Swim: swim.Config{Self: name, Addr: addr, Process: uint64(name[0]), Seeds: []string{seed}, Period: 50 * time.Millisecond, Bear: 500 * time.Millisecond}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return g
+	}
+	a, b := start("a", seed, key(1, "a")), start("b", free(), key(1, "a"))
+	defer a.Close()
+	state := func(g *Gossip, name string) (s string) {
+		g.Look(func(v *swim.Swim) {
+			if held, known := v.Holds(name); known {
+				s = held.String()
+			}
+		})
+		return s
+	}
+	until := func(what string, met func() bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); !met(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("never: %s", what)
+			}
+		}
+	}
+	until("each holds the other for alive", func() bool { return state(a, "b") == "alive" && state(b, "a") == "alive" })
+	nc, err := net.Dial("udp", seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Write([]byte(strings.Repeat("x", 100)))
+	nc.Write(append([]byte{Version, 1}, make([]byte, 98)...))
+	nc.Close()
+	until("foreign packets are counted", func() bool { return a.Drops.Version.Load() == 1 && a.Drops.Seal.Load() == 1 })
+	for _, keys := range [][]Key{{key(1, "a"), key(2, "b")}, {key(2, "b"), key(1, "a")}, {key(2, "b")}} {
+		if err := errors.Join(a.SetKeys(keys), b.SetKeys(keys)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if state(a, "b") != "alive" || state(b, "a") != "alive" {
+		t.Errorf("after the keys were rotated: %s, %s", state(a, "b"), state(b, "a"))
+	}
+	b.Leave()
+	until("the goodbye is heard", func() bool { return state(a, "b") == "left" })
+	b.Close()
+}
--- a/internal/lab/fleet/coordinator.go
+++ b/internal/lab/fleet/coordinator.go
@@ -97,6 +97,21 @@
 	return lines
 }
 
+// Kill ends the program by SIGKILL and waits for its end; its folder stays until Discard.
+func (c *Coordinator) Kill() error {
+	if c.stopped || c.cmd == nil {
+		return nil
+	}
+	c.stopped = true
+	c.cmd.Process.Signal(syscall.SIGCONT)
+	err := c.cmd.Process.Kill()
+	<-c.ended
+	return err
+}
+
+// Discard removes the folder of a program that was killed.
+func (c *Coordinator) Discard() error { return os.RemoveAll(c.dir) }
+
 // Stop ends the program by SIGTERM (after SIGCONT, should it be stalled), by SIGKILL after 30 s, and removes its
 // folder; once is enough. It tells of a program that did not end well.
 func (c *Coordinator) Stop() (err error) {
--- a/internal/swim/state.go
+++ b/internal/swim/state.go
@@ -116,9 +116,12 @@
 	}
 	if u.Process != m.Process {
 		// Another process has taken its place, with less behind it than the one before.
-		if u.State != Alive {
+		if u.State != Alive || slices.Contains(m.retired, u.Process) {
 			return
 		}
+		if m.retired = append(m.retired, m.Process); len(m.retired) > 8 {
+			m.retired = m.retired[1:]
+		}
 		u.Incarnation = max(u.Incarnation, m.Incarnation+1)
 		m.gaps, m.missed, m.vain, m.heard, m.reached = gaps{}, 0, 0, 0, 0
 		if m.State == Left {
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -212,6 +212,7 @@
 	missed   int           // direct acks in a row
 	missedAt time.Duration // the first of them
 	vain     int           // probes in a row that nobody answered
+	retired  []uint64      // processes that it had before: what still goes round of them, or is sent anew, is old
 	reported string        // the direction that is reported as cut: its From; empty for none
 }
 
@@ -298,6 +299,9 @@
 // Counts tells what was done so far.
 func (s *Swim) Counts() Counts { return s.counts }
 
+// Self is our own name.
+func (s *Swim) Self() string { return s.c.Self }
+
 // Incarnation is our own.
 func (s *Swim) Incarnation() uint64 { return s.self.Incarnation }
 
