Membership among coordinators: confirmations, steady news, and a restart that words of the past undid

Causes: (1) who had heard of a suspicion never confirmed it (probe.go `ended` only doubted), so its time hardly shrank; (2) local health slowed probes down and with them all news, so that refutations came after the deadline; (3) health fell with any nack that was lost.

Change: an own failed probe confirms, and a suspect is probed soon; news has packets of its own each period while there is any; health falls only where most of those asked are silent, and widens times five-fold at most.

Hearsay on another process counts only with a higher incarnation; its own word counts from its start.

--- a/cmd/gullfall-lab/peers.go
+++ b/cmd/gullfall-lab/peers.go
@@ -37,6 +37,7 @@
 	Binary       string        `help:"The gullfall to play; beside this program by default."`
 	JSON         string        `name:"json" help:"Write the figures here."`
 	Sizes        []int         `help:"Instead: play fleets of these sizes in virtual time against the baselines."`
+	Curve        bool          `help:"With --sizes: vary what is borne, for the curve of false deaths against detection, instead of the baselines."`
 	Plots        string        `help:"With --sizes: write plots against loss into this folder."`
 }
 
@@ -238,6 +239,7 @@
 	Members     int     `json:"members"`
 	Detect      string  `json:"detect"`
 	Loss        float64 `json:"loss"`
+	BearS       float64 `json:"bear_s"`
 	FalseDead   int     `json:"false_dead"`
 	DetectP50MS float64 `json:"detect_p50_ms"` // a crash known to half
 	DetectMS    float64 `json:"detect_all_ms"` // and to all
@@ -248,20 +250,30 @@
 // sizes plays fleets in virtual time: pauses and loss for two minutes, then three crashes.
 func (p *peersCmd) sizes() error {
 	var rows []sizeRow
-	fmt.Printf("%8s %-10s %5s %10s %14s %14s %10s %9s\n", "members", "detect", "loss", "false_dead", "detect_p50_ms", "detect_all_ms", "packets/s", "bytes/s")
+	fmt.Printf("%8s %-10s %5s %6s %10s %14s %14s %10s %9s\n", "members", "detect", "loss", "bear_s", "false_dead", "detect_p50_ms", "detect_all_ms", "packets/s", "bytes/s")
+	one := func(n int, loss float64, detect string, bear time.Duration) error {
+		row, err := p.size(n, loss, detect, bear)
+		rows = append(rows, row)
+		fmt.Printf("%8d %-10s %5.2f %6.1f %10d %14.0f %14.0f %10.2f %9.0f\n", row.Members, row.Detect, row.Loss, row.BearS, row.FalseDead, row.DetectP50MS, row.DetectMS, row.PacketsS, row.BytesS)
+		runtime.GC()
+		return err
+	}
 	for _, n := range p.Sizes {
+		for _, bear := range []time.Duration{time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
+			if p.Curve {
+				if err := one(n, 0.2, "swim", bear); err != nil {
+					return err
+				}
+			}
+		}
 		for _, loss := range []float64{0, 0.1, 0.2, 0.4} {
 			for _, detect := range []string{"swim", "plain", "heartbeat"} {
-				if detect == "heartbeat" && n > 1000 || loss > 0 && loss != 0.2 && n > 300 {
+				if p.Curve || detect == "heartbeat" && n > 1000 || loss > 0 && loss != 0.2 && n > 300 {
 					continue // n*n packets a second; and time
 				}
-				row, err := p.size(n, loss, detect)
-				if err != nil {
+				if err := one(n, loss, detect, 3*time.Second); err != nil {
 					return err
 				}
-				rows = append(rows, row)
-				fmt.Printf("%8d %-10s %5.2f %10d %14.0f %14.0f %10.2f %9.0f\n", row.Members, row.Detect, row.Loss, row.FalseDead, row.DetectP50MS, row.DetectMS, row.PacketsS, row.BytesS)
-				runtime.GC()
 			}
 		}
 	}
@@ -273,10 +285,10 @@
 	return writeJSON(p.JSON, map[string]any{"rows": rows, "seed": p.Seed})
 }
 
-func (p *peersCmd) size(n int, loss float64, detect string) (row sizeRow, err error) {
-	row = sizeRow{Members: n, Detect: detect, Loss: loss}
+func (p *peersCmd) size(n int, loss float64, detect string, bear time.Duration) (row sizeRow, err error) {
+	row = sizeRow{Members: n, Detect: detect, Loss: loss, BearS: bear.Seconds()}
 	f, err := peersim.New(peersim.Config{Members: n, Seed: p.Seed, Detect: detect, Fixed: 5 * time.Second, Delay: 2 * time.Millisecond,
-		Jitter: 5 * time.Millisecond, Swim: swim.Config{Period: time.Second}})
+		Jitter: 5 * time.Millisecond, Swim: swim.Config{Period: time.Second, Bear: bear}})
 	if err != nil {
 		return row, err
 	}
--- a/internal/swim/fleet_test.go
+++ b/internal/swim/fleet_test.go
@@ -175,6 +175,26 @@
 	}
 }
 
+// TestRestartAtOnce: two of four end within 12 ms of the start, with 40% lost, and come back as new processes. Before, a
+// word of others on the process before took the new one's place at a member that had heard the new one first, for good.
+func TestRestartAtOnce(t *testing.T) {
+	for seed := range uint64(40) {
+		f := fleet(t, peersim.Config{Members: 4, Seed: seed, Twice: 0.05})
+		f.Crash(1)
+		f.Lose(0.4)
+		f.Run(f.Now() + 11*time.Millisecond)
+		f.Crash(0)
+		f.Run(f.Now() + 705*time.Millisecond)
+		f.Lose(0)
+		for i := range 2 {
+			if err := f.Restart(i, uint64(2+i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		settled(t, f, time.Minute, fmt.Sprint("seed ", seed))
+	}
+}
+
 // TestProperties: over random schedules of crashes, restarts, pauses, loss and cuts, incarnations only grow, packets stay
 // bounded, and once all is whole again every view is equal and true within the bound.
 func TestProperties(t *testing.T) {
--- a/internal/swim/probe.go
+++ b/internal/swim/probe.go
@@ -33,6 +33,18 @@
 		}
 	}
 	s.relays = slices.DeleteFunc(s.relays, func(r relay) bool { return s.now >= r.end })
+	if s.now >= s.newsAt && !s.leaving {
+		// However slow our own probes are, news goes its way: else a refutation comes too late.
+		s.newsAt = s.now + s.c.Period
+		for range s.c.Indirect - 1 {
+			if len(s.news) == 0 {
+				break
+			}
+			if m := s.pick(func(m *member) bool { return m.State <= Suspect }); m != nil {
+				s.send(m.Addr, s.laden(Message{Kind: News}, m))
+			}
+		}
+	}
 	if s.now < s.probeAt || s.leaving {
 		return
 	}
@@ -133,21 +145,20 @@
 		s.cutOff(m)
 		return
 	}
-	if p.asked == 0 || p.nacks < p.asked {
-		s.worse(1) // some of those asked did not answer either: it may be us
+	if 2*p.nacks < p.asked || p.asked == 0 {
+		s.worse(1) // most of those asked did not answer either: it may be us
 	}
 	if m.vain++; m.vain < 2 && s.c.Phi > 0 && m.phi(s.now) < s.c.Phi {
 		s.doubt(m)
 		return
 	}
+	s.doubt(m)
+	u := m.Update
+	u.State, u.By = Suspect, s.c.Self // or a confirmation, where others suspect it
 	if m.State == Alive {
 		s.counts.Suspicions++
-		u := m.Update
-		u.State, u.By = Suspect, s.c.Self
-		s.apply(u, "it answered neither us nor those we asked")
-	} else {
-		s.doubt(m)
 	}
+	s.apply(u, false, "it answered neither us nor those we asked")
 }
 
 // doubt lets a member be probed again soon.
--- a/internal/swim/state.go
+++ b/internal/swim/state.go
@@ -33,7 +33,7 @@
 		s.send(from.Addr, Message{Kind: Refuse, Reason: why})
 		return nil
 	}
-	s.apply(*from, "it says so itself")
+	s.apply(*from, true, "it says so itself")
 	return s.members[from.Name]
 }
 
@@ -66,7 +66,7 @@
 				why = "it has said so"
 			}
 		}
-		s.apply(u, why)
+		s.apply(u, false, why)
 	}
 	for _, l := range links {
 		s.linkWord(l)
@@ -94,8 +94,8 @@
 	s.spread(mine.Update)
 }
 
-// apply takes in a word on another member.
-func (s *Swim) apply(u Update, why string) {
+// apply takes in a word on another member, its own or somebody else's.
+func (s *Swim) apply(u Update, itself bool, why string) {
 	m := s.members[u.Name]
 	if m == nil {
 		if u.State == Left || len(s.members) >= mostMembers {
@@ -115,8 +115,12 @@
 		return
 	}
 	if u.Process != m.Process {
-		// Another process has taken its place, with less behind it than the one before.
-		if u.State != Alive || slices.Contains(m.retired, u.Process) {
+		// Another process has taken its place. Its own word counts from its start, when it has less behind it than the one
+		// before; what others say counts where it is the newer, else the one before would come back by what goes round of it.
+		if u.State != Alive || u.Incarnation <= m.Incarnation && (!itself || slices.Contains(m.retired, u.Process)) {
+			if itself {
+				s.spread(m.Update) // it hears what is held of it, and says more
+			}
 			return
 		}
 		if m.retired = append(m.retired, m.Process); len(m.retired) > 8 {
@@ -169,6 +173,7 @@
 	case Suspect:
 		m.begun = s.now
 		s.confirm(m, u.By)
+		s.doubt(m) // our own word on it comes soon
 	case Dead, Left:
 		if u.State == Left {
 			s.soon(s.now + s.c.Reap)
@@ -189,7 +194,7 @@
 // Least is how long a suspicion lasts at least: what a member may be paused for, and the time in which the news of it
 // reaches everybody and its refutation comes back.
 func (s *Swim) Least() time.Duration {
-	rounds := 2 + int(math.Ceil(math.Log2(float64(s.size()+1))))
+	rounds := 1 + int(math.Ceil(math.Log(float64(s.size()+1))/math.Log(3))) // news goes from one to two others in a period
 	least := time.Duration(s.c.Alpha * s.logN() * float64(s.c.Period))
 	return max(least, s.c.Bear+time.Duration(rounds)*s.c.Period)
 }
@@ -249,7 +254,7 @@
 		u := m.Update
 		u.State, u.By = Dead, s.c.Self
 		s.counts.Deaths++
-		s.apply(u, fmt.Sprintf("suspected for %v by %d, and not refuted", (s.now-m.begun).Round(time.Millisecond), len(m.backers)))
+		s.apply(u, false, fmt.Sprintf("suspected for %v by %d, and not refuted", (s.now-m.begun).Round(time.Millisecond), len(m.backers)))
 	}
 }
 
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -82,6 +82,7 @@
 	PingReq                 // probe Target on my behalf
 	Nack                    // Target has not answered me either, but I am there
 	Refuse                  // you can't be a member, for Reason
+	News                    // nothing but news
 )
 
 // Message is one packet.
@@ -148,7 +149,7 @@
 	Alpha     float64       // least suspicion time, in periods times log10 of the members; 4
 	Beta      float64       // and how many times of that it may be without confirmations; 4
 	Repeat    int           // how often a word is passed on, times log10 of the members; 4
-	Health    int           // the most that own times are widened by, beside 1; 8. Below 0: never
+	Health    int           // the most that own times are widened by, beside 1; 4. Below 0: never
 	Phi       float64       // a silence below this figure needs a second missed probe; 1. Below 0: never
 	Exchange  time.Duration // between full exchanges; 15 periods
 	Reap      time.Duration // how long one that has left is remembered; 10 min
@@ -179,7 +180,7 @@
 	for _, x := range []struct {
 		n *int
 		v int
-	}{{&c.Indirect, 3}, {&c.Repeat, 4}, {&c.Health, 8}, {&c.Packet, 1100}, {&c.CutMisses, 4}} {
+	}{{&c.Indirect, 3}, {&c.Repeat, 4}, {&c.Health, 4}, {&c.Packet, 1100}, {&c.CutMisses, 4}} {
 		if *x.n == 0 {
 			*x.n = x.v
 		}
@@ -256,6 +257,7 @@
 	links    map[[3]string]*link
 	version  uint32 // of our words on links
 	probeAt  time.Duration
+	newsAt   time.Duration
 	fullAt   time.Duration
 	wake     time.Duration
 	leaving  bool
@@ -284,7 +286,7 @@
 	s.self = &member{Update: Update{Name: c.Self, Addr: c.Addr, Process: c.Process, Incarnation: 1}, since: now}
 	s.members[c.Self] = s.self
 	// Coordinators that start together do not probe in step.
-	s.probeAt, s.fullAt = now+s.share(c.Period), now
+	s.probeAt, s.newsAt, s.fullAt = now+s.share(c.Period), now+s.share(c.Period), now
 	s.spread(s.self.Update)
 	return s, nil
 }
@@ -331,7 +333,7 @@
 	s.suspicions()
 	s.exchanges()
 	s.judge()
-	s.wake = min(s.probeAt, s.fullAt)
+	s.wake = min(s.probeAt, s.fullAt, s.newsAt)
 	if s.soonest > 0 {
 		s.wake = min(s.wake, s.soonest)
 	}
@@ -354,13 +356,13 @@
 // was not heard meanwhile, so no time of that counts against anybody.
 func (s *Swim) pause() {
 	lag := s.now - s.wake
-	if lag < s.c.Period/2 {
+	if lag < s.c.Period/2 || s.c.Health < 0 {
 		return
 	}
 	s.counts.Pauses++
 	s.worse(1 + int(min(lag/s.c.Period, time.Duration(max(s.c.Health, 1)))))
 	s.probes, s.relays = nil, nil
-	s.probeAt = s.now
+	s.probeAt, s.newsAt = s.now, s.now
 	names := s.names()
 	for _, name := range names {
 		m := s.members[name]
@@ -450,6 +452,6 @@
 	if m := s.members[name]; m != nil && m != s.self && m.State == Dead {
 		u := m.Update
 		u.State, u.By = Left, s.c.Self
-		s.apply(u, "an operator says that it is gone for good")
+		s.apply(u, false, "an operator says that it is gone for good")
 	}
 }
