--- a/internal/swim/fleet_test.go
+++ b/internal/swim/fleet_test.go
@@ -175,23 +175,43 @@
 	}
 }
 
-// TestRestartAtOnce: two of four end within 12 ms of the start, with 40% lost, and come back as new processes. Before, a
-// word of others on the process before took the new one's place at a member that had heard the new one first, for good.
-func TestRestartAtOnce(t *testing.T) {
-	for seed := range uint64(40) {
-		f := fleet(t, peersim.Config{Members: 4, Seed: seed, Twice: 0.05})
-		f.Crash(1)
-		f.Lose(0.4)
-		f.Run(f.Now() + 11*time.Millisecond)
-		f.Crash(0)
-		f.Run(f.Now() + 705*time.Millisecond)
-		f.Lose(0)
-		for i := range 2 {
-			if err := f.Restart(i, uint64(2+i)); err != nil {
-				t.Fatal(err)
+// TestWordsOnAnotherProcess: a restarted process's own word counts from its start; what others still say of the one before
+// does not bring that one back, and what they say of a later one does count.
+func TestWordsOnAnotherProcess(t *testing.T) {
+	const before, after, later = 1, 2, 3
+	word := func(process, incarnation uint64) swim.Update {
+		return swim.Update{Name: "a", Addr: "1", Process: process, Incarnation: incarnation}
+	}
+	own := func(u swim.Update) swim.Event {
+		return swim.Event{Packet: &swim.Message{Kind: swim.News, From: u}}
+	}
+	hearsay := func(u swim.Update) swim.Event {
+		return swim.Event{Packet: &swim.Message{Kind: swim.News, From: swim.Update{Name: "b", Addr: "2", Process: 9, Incarnation: 1}, Updates: []swim.Update{u}}}
+	}
+	for _, c := range []struct {
+		name   string
+		events []swim.Event
+		want   uint64 // the incarnation that is held in the end
+	}{
+		{"its own word goes on to count after hearsay on the one before", []swim.Event{own(word(after, 1)), hearsay(word(before, 1)), own(word(after, 3))}, 3},
+		{"also after newer hearsay on the one before", []swim.Event{own(word(after, 1)), hearsay(word(before, 5)), own(word(after, 7))}, 7},
+		{"its own word counts though it has less behind it", []swim.Event{hearsay(word(before, 5)), own(word(after, 1))}, 6},
+		{"the one before says no more by a packet sent anew", []swim.Event{own(word(before, 5)), own(word(after, 1)), own(word(before, 5))}, 6},
+		{"hearsay on a later one", []swim.Event{own(word(after, 1)), hearsay(word(later, 2))}, 2},
+		{"an incarnation that is no more than a lie", []swim.Event{own(word(after, 1)), hearsay(word(after, 1<<40))}, 1},
+	} {
+		s, err := swim.New(swim.Config{Self: "x", Addr: "0", Process: 7}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, e := range c.events {
+			s.Step(time.Duration(i+1)*10*time.Millisecond, e)
+		}
+		for _, m := range s.Members() {
+			if m.Name == "a" && m.Incarnation != c.want {
+				t.Errorf("%s: incarnation %d is held, want %d", c.name, m.Incarnation, c.want)
 			}
 		}
-		settled(t, f, time.Minute, fmt.Sprint("seed ", seed))
 	}
 }
 
