--- a/cmd/gullfall/peers.go
+++ b/cmd/gullfall/peers.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -227,12 +228,27 @@
 		cut = cut || len(m.CutTo) > 0
 	}
 	if cut {
-		fmt.Fprintln(t, "\nfrom \\ to\tdoes not reach")
+		// Rows and columns of those that have a cut only: the others reach all.
+		fmt.Fprint(t, "\nfrom, to")
+		var some []peerView
 		for _, m := range v.Members {
-			if len(m.CutTo) > 0 {
-				fmt.Fprintf(t, "%s\t%s\n", m.Name, strings.Join(m.CutTo, " "))
+			if len(m.CutTo)+len(m.CutFrom) > 0 {
+				some = append(some, m)
+				fmt.Fprint(t, "\t", m.Name)
 			}
 		}
+		fmt.Fprintln(t)
+		for _, from := range some {
+			fmt.Fprint(t, from.Name)
+			for _, to := range some {
+				mark := "."
+				if slices.Contains(from.CutTo, to.Name) {
+					mark = "x"
+				}
+				fmt.Fprint(t, "\t", mark)
+			}
+			fmt.Fprintln(t)
+		}
 	}
 	return t.Flush()
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -184,3 +184,30 @@
 		t.Errorf("memory_mb is %d after the reload", cfg.Limits.MemoryMB)
 	}
 }
+
+// TestPeersKeys: each faulty key of the coordinators' talk is named, and a sound file has none.
+func TestPeersKeys(t *testing.T) {
+	const sound = "[peers]\nlisten = \"127.0.0.1:7946\"\nfleet = \"f\"\nseeds = [\"127.0.0.2:7946\"]\n[[peers.key]]\nid = 1\nsecret = \"MDEyMzQ1Njc4OWFiY2RlZg==\"\n"
+	for _, c := range []struct{ name, text, want string }{
+		{"sound", sound, ""},
+		{"off", "", ""},
+		{"seeds without a listener", "[peers]\nseeds = [\"127.0.0.1:1\"]\n", "peers.listen"},
+		{"not loopback", strings.Replace(sound, "127.0.0.1:7946", "10.0.0.1:7946", 1), "peers.listen"},
+		{"a seed without a port", strings.Replace(sound, "127.0.0.2:7946", "127.0.0.2", 1), "peers.seeds[0]"},
+		{"no fleet", strings.Replace(sound, "\"f\"", "\"\"", 1), "peers.fleet"},
+		{"no key", strings.Split(sound, "[[")[0], "peers.key"},
+		{"a short key", strings.Replace(sound, "MDEyMzQ1Njc4OWFiY2RlZg==", "MDEy", 1), "peers.key[0].secret"},
+		{"id", strings.Replace(sound, "id = 1", "id = 0", 1), "peers.key[0].id"},
+		{"timeout", strings.Replace(sound, "fleet", "period = \"1s\"\ntimeout = \"900ms\"\nfleet", 1), "peers.timeout"},
+		{"unknown", strings.Replace(sound, "fleet", "flet = 1\nfleet", 1), "peers.flet"},
+	} {
+		path := filepath.Join(t.TempDir(), "gullfall.toml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadDeploy(path, "n0")
+		if (err != nil) != (c.want != "") || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q", c.name, err, c.want)
+		}
+	}
+}
