Counting a fleet's logs: gullfall-lab fleet, and each query that is given up names its cause

The module knows why it gives a query up, and did not say it.

What. aggregator.Refuse and Fail carry Why (no holder, held, forecast, late, spent, wrecked); the core's lines `query refused` and `query failed` have it as `why`. internal/lab/fleetlog reads a folder of logs, `gullfall-lab fleet DIR [--json] [--plot]` tells each way in which queries ended badly, over the fleet and over time, the data nodes that missing parts waited for, and attempts by end with HdrHistogram figures.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -170,8 +170,8 @@
 	Send      ActionKind = iota + 1 // Part, Replica, After: the attempt's time-out, Begin
 	Cancel                          // Part, Attempt
 	Answer                          // Query, Whole
-	Refuse                          // Query, After: when to return
-	Fail                            // Query
+	Refuse                          // Query, Why, After: when to return
+	Fail                            // Query, Why
 	Probe                           // Replica
 	Wake                            // After
 	Subscribe                       // nothing else
@@ -179,6 +179,19 @@
 	Tell                            // Data: a message for all other front nodes, 256 bytes at most
 )
 
+// Why is the cause of a query that is given up.
+type Why uint8
+
+// The causes.
+const (
+	NoHolder Why = iota + 1 // a part that is needed has no holder that may be used
+	Held                    // too much is open here
+	Forecast                // it can't be expected in its time
+	Late                    // its time is over, or what is left of it is of no use
+	Spent                   // a part that is needed may not be tried again
+	Wrecked                 // replicas broke under it
+)
+
 // Action is one thing to be done, in order.
 type Action struct {
 	Kind    ActionKind
@@ -188,6 +201,7 @@
 	Attempt int
 	Whole   bool // the answer is complete
 	Final   bool // no second step follows the answer
+	Why     Why  // Refuse, Fail
 	After   time.Duration
 	Begin   time.Duration // Send: within it or never, as what may run twice is then no longer dropped
 	Data    []byte
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -486,18 +486,18 @@
 	switch {
 	case q.ended:
 	case a.now >= next:
-		a.settle(q)
+		a.settle(q, Late)
 	case len(q.parts) < q.want:
 		return next
 	case !q.admitted && !a.admit(q):
-		a.giveUp(q)
+		a.giveUp(q, q.why)
 	case open == 0 || q.step == 0 && got >= a.set.Classes[q.class].Need-rounding:
-		a.settle(q)
+		a.settle(q, Spent)
 	case a.now >= early && a.partialPays(q, got), a.now >= late && a.useful(q) == q.aim:
-		a.settle(q)
+		a.settle(q, Late)
 	case q.wrecks >= wreckLimit && !q.answered:
 		a.killed = a.now
-		a.giveUp(q)
+		a.giveUp(q, Wrecked)
 	case a.now < early:
 		return a.place(q, early)
 	case a.now < late:
@@ -544,7 +544,7 @@
 			room--
 		}
 		if p.lost = hopeless; hopeless && !a.reachable(q) {
-			a.settle(q)
+			a.settle(q, Spent)
 			return math.MaxInt64
 		} else if !hopeless {
 			next = min(next, when)
@@ -601,7 +601,7 @@
 }
 
 // settle ends a query with the best that is in: a whole answer, a partial one, or none.
-func (a *Aggregator) settle(q *query) {
+func (a *Aggregator) settle(q *query, why Why) {
 	c := &a.set.Classes[q.class]
 	got, _, missing := q.weights()
 	whole := got >= c.Need-rounding
@@ -609,12 +609,12 @@
 		whole = missing == 0 && q.whole
 	}
 	if got < a.least(q) || len(q.parts) < q.want {
-		a.giveUp(q)
+		a.giveUp(q, why)
 		return
 	}
 	if q.step == 0 && c.Fetch > 0 {
 		if q.end-a.now <= 2*a.set.Tick {
-			a.giveUp(q) // an answer now would open a second step and end nothing
+			a.giveUp(q, Late) // an answer now would open a second step and end nothing
 			return
 		}
 		done := 0
@@ -634,7 +634,7 @@
 
 // giveUp ends a query without an answer, at once. A refusal says that asking again is harmless and when;
 // where a part that must not be repeated freely may have run, only a failure is honest.
-func (a *Aggregator) giveUp(q *query) {
+func (a *Aggregator) giveUp(q *query, why Why) {
 	kind, wait := Refuse, time.Duration(0)
 	for _, p := range q.parts {
 		if a.set.Classes[q.class].Effect != Safe && (p.mayRun || p.out() > 0) {
@@ -645,7 +645,7 @@
 		s := a.median + a.typical()*(1+a.rng.Float64())
 		wait = min(times(s, time.Second), a.set.Limits.MaxRetryAfter)
 	}
-	a.out = append(a.out, Action{Kind: kind, Query: q.id, After: wait})
+	a.out = append(a.out, Action{Kind: kind, Query: q.id, Why: why, After: wait})
 	a.close(q)
 }
 
@@ -666,15 +666,17 @@
 			wait, sum = p.wait, sum+p.weight
 		}
 	}
-	if math.IsInf(wait, 1) {
+	if q.why = NoHolder; math.IsInf(wait, 1) {
 		return false
 	}
 	if wait += a.straggle(q); a.set.Classes[q.class].Fetch > 0 {
 		wait *= 1.5
 	}
+	q.why = Held
 	if m := float64(a.set.Limits.MaxOpen); m > 0 && float64(a.open()) > m*(roomShare+(1-roomShare)*rank) {
 		return false
 	}
+	q.why = Forecast
 	if wait > (admitLow+(admitHigh-admitLow)*rank)*(q.aim-a.now).Seconds() {
 		return false
 	}
@@ -808,7 +810,7 @@
 	return len(p.tries) == 0 || len(p.tries) < a.set.Limits.Attempts && a.begin(p) > 0
 }
 
-// begin is how long a further attempt of p may still begin; a repeat is dropped for a while where the class is keyed.
+// begin is how long a further attempt may still begin: in a keyed class, for as long as a repeat is dropped.
 func (a *Aggregator) begin(p *part) time.Duration {
 	c := &a.set.Classes[p.q.class]
 	since, may := p.firstRun, p.mayRun
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -130,6 +130,7 @@
 	wrecks   int           // attempts that ended with the connection reset
 	jolted   bool          // an attempt on an idle connection was
 	answered bool          // some part was answered
+	why      Why           // it was turned away at the door
 	aim, end time.Duration
 	worth    float64 // per work
 }
--- /dev/null
+++ b/cmd/gullfall-lab/fleet.go
@@ -0,0 +1,77 @@
+package main
+
+// This file owns `gullfall-lab fleet`: the table, JSON and plot of what all coordinators of a played day have logged.
+
+import (
+	"fmt"
+	"maps"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"gullfall/internal/lab/fleetlog"
+)
+
+type fleetCmd struct {
+	Dir  string `arg:"" help:"The folder that holds the coordinators' logs, *.log; at log.level debug for all counts."`
+	JSON string `name:"json" help:"Write the figures here."`
+	Plot string `help:"Write a plot of bad ends a second into this folder."`
+	Top  int    `default:"12" help:"Rows of each table."`
+}
+
+func (f *fleetCmd) Run() error {
+	r, err := fleetlog.Read(f.Dir)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d logs, %d queries, %d lines not read\n\n", r.Logs, r.Queries, r.Unread)
+	fmt.Printf("%8s %6s  %-8s %-10s %-15s %-20s %8s %8s\n", "queries", "share", "end", "why", "parts", "class", "p50_ms", "p99_ms")
+	for _, w := range r.Ways[:min(f.Top, len(r.Ways))] {
+		fmt.Printf("%8d %5.1f%%  %-8s %-10s %-15s %-20s %8.0f %8.0f\n", w.Queries, 100*w.Share, w.End, w.Why, w.Parts, w.Class, w.P50MS, w.P99MS)
+	}
+	if len(r.Nodes) > 0 {
+		fmt.Printf("\n%8s  %-14s %s\n", "missing", "data node", "last attempts")
+		for _, n := range r.Nodes[:min(f.Top, len(r.Nodes))] {
+			fmt.Printf("%8d  %-14s %v\n", n.Parts, n.ID, n.Ends)
+		}
+	}
+	if len(r.Attempts) > 0 {
+		fmt.Printf("\n%8s  %-15s %8s %8s\n", "attempts", "end", "p50_ms", "p99_ms")
+		for _, a := range r.Attempts {
+			fmt.Printf("%8d  %-15s %8.0f %8.0f\n", a.N, a.End, a.P50MS, a.P99MS)
+		}
+	}
+	if f.Plot != "" {
+		if err := plotSeconds(filepath.Join(f.Plot, "ends.png"), r.Second); err != nil {
+			return err
+		}
+	}
+	return writeJSON(f.JSON, r)
+}
+
+// plotSeconds draws how many queries ended badly in each second, a line for each way.
+func plotSeconds(path string, by map[string]map[int]int) error {
+	pic := plot.New()
+	pic.Title.Text, pic.X.Label.Text, pic.Y.Label.Text = "queries that ended badly", "second of the day", "queries"
+	for i, way := range slices.Sorted(maps.Keys(by)) {
+		last := 0
+		for s := range by[way] {
+			last = max(last, s)
+		}
+		var xy plotter.XYs
+		for s := range last + 1 {
+			xy = append(xy, plotter.XY{X: float64(s), Y: float64(by[way][s])})
+		}
+		line, err := plotter.NewLine(xy)
+		if err != nil {
+			return err
+		}
+		line.Dashes = [][]vg.Length{nil, {vg.Points(5), vg.Points(2)}, {vg.Points(2), vg.Points(2)}, {vg.Points(1), vg.Points(3)}}[i%4]
+		pic.Add(line)
+		pic.Legend.Add(way, line)
+	}
+	return pic.Save(20*vg.Centimeter, 11*vg.Centimeter, path)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -616,12 +616,12 @@
 			}
 		case aggregator.Refuse:
 			if q := c.queries[a.Query]; q != nil {
-				c.tell("query refused", q, now)
+				c.tell("query refused", q, a.Why, now)
 				c.end(q, Answer{Verdict: Refused, After: a.After})
 			}
 		case aggregator.Fail:
 			if q := c.queries[a.Query]; q != nil {
-				c.tell("query failed", q, now)
+				c.tell("query failed", q, a.Why, now)
 				c.end(q, Answer{Verdict: Failed})
 			}
 		case aggregator.Probe, aggregator.CloseIdle:
@@ -712,7 +712,7 @@
 }
 
 // tell logs a query that ends without an answer, with the parts that it lacks and their attempts.
-func (c *Core) tell(what string, q *query, now time.Time) {
+func (c *Core) tell(what string, q *query, why aggregator.Why, now time.Time) {
 	var missing []string
 	for _, p := range q.parts {
 		if p.in {
@@ -724,13 +724,17 @@
 		}
 		missing = append(missing, text)
 	}
-	c.log.Info(what, "query", q.ID, "class", q.Class, "after", now.Sub(q.taken).Round(time.Millisecond),
+	c.log.Info(what, "query", q.ID, "class", q.Class, "why", causes[why], "after", now.Sub(q.taken).Round(time.Millisecond),
 		"left", q.Deadline.Sub(now).Round(time.Millisecond), "parts", len(q.parts), "missing", missing)
 }
 
 var words = map[Outcome]string{Served: "ok", Errored: "err", Busy: "busy", NotConnected: "not connected",
 	Reset: "reset", Dropped: "given up", Cut: "cut"}
 
+// causes are why the module gives a query up, in a word.
+var causes = map[aggregator.Why]string{aggregator.NoHolder: "no holder", aggregator.Held: "held", aggregator.Forecast: "forecast",
+	aggregator.Late: "late", aggregator.Spent: "spent", aggregator.Wrecked: "wrecked"}
+
 // state is what became of an attempt, in a word.
 func (a *Attempt) state() string {
 	switch {
