Connections: own shortage of descriptors is no data node's fault, and idle ones make room

The lines at fault: nodes.go `call` reported a part that had no descriptor as NotConnected, which the module counts as a failed connection: two of them eject the data node and take it for restarted, so that it is cold for 17 s and a coordinator among 300 may hardly send to it; with all holders of a shard so, nothing can be asked.

A connection without a descriptor closes the idle one used least lately and waits for what comes free, as long as it may take to come up; else its parts end as never sent, which is held against nobody. Three eighths of the descriptors are for data nodes instead of a quarter, half for clients instead of five eighths (requests hold a third at most).

TestMoreNodesThanDescriptors fails without the change.

--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -107,7 +107,7 @@
 	go c.Run(ctx)
 
 	limits := cfg.Settings.Limits
-	slots := make(chan struct{}, cfg.Limits.Sockets/4) // connections to data nodes of both kinds
+	slots := make(chan struct{}, cfg.Limits.Sockets*3/8) // connections to data nodes of both kinds
 	nodes := &platform.Nodes{Core: c, Log: log, Dial: dial, Streams: cfg.Streams, Connect: limits.ConnectTimeout,
 		Idle: limits.ConnIdle, Slots: slots}
 	watch := platform.NewWatch(cfg.Discovery)
@@ -149,9 +149,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	// Descriptors: a quarter for data nodes, an eighth for Flight where it is on and one for all else; clients have
-	// the rest, well over the third that those with a request out may hold.
-	most := cfg.Limits.Sockets * 5 / 8
+	// Descriptors: three eighths for data nodes, one for Flight where it is on and one for all else; clients have the
+	// rest, over the third that those with a request out may hold.
+	most := cfg.Limits.Sockets / 2
 	if deploy.Flight.Listen != "" {
 		most -= cfg.Limits.Sockets / 8
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,6 +85,7 @@
 	NotConnected         // never written whole
 	Reset                // the connection ended after it was written
 	Dropped              // given up as ordered
+	NotSent              // never sent, and no fault of the data node: nothing was left to send it with
 	Cut                  // its connection was lost or is of no more use, but the data node is there
 )
 
@@ -368,7 +369,7 @@
 var outcomes = map[Outcome]aggregator.Outcome{
 	Served: aggregator.OK, Errored: aggregator.Errored, Busy: aggregator.Full,
 	NotConnected: aggregator.ConnectFailed, Reset: aggregator.Reset, Dropped: aggregator.TimedOut,
-	Cut: aggregator.Cut,
+	NotSent: aggregator.Moot, Cut: aggregator.Cut,
 }
 
 // settleTime is how long what tells a data node of the end of an attempt may be on its way, or lie unread there.
@@ -729,7 +730,7 @@
 }
 
 var words = map[Outcome]string{Served: "ok", Errored: "err", Busy: "busy", NotConnected: "not connected",
-	Reset: "reset", Dropped: "given up", Cut: "cut"}
+	Reset: "reset", Dropped: "given up", NotSent: "not sent", Cut: "cut"}
 
 // causes are why the module gives a query up, in a word.
 var causes = map[aggregator.Why]string{aggregator.NoHolder: "no holder", aggregator.Held: "held", aggregator.Forecast: "forecast",
--- a/internal/flight/nodecalls.go
+++ b/internal/flight/nodecalls.go
@@ -96,7 +96,7 @@
 		if ctx.Err() == nil {
 			p.Log.Info("no channel to data node", "node", p.node.ID(), "cause", err)
 		}
-		p.rest(g, core.Result{Outcome: core.NotConnected})
+		p.rest(g, core.Result{Outcome: unsent(err)})
 		return
 	}
 	defer func() {
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -293,7 +293,7 @@
 	ch, err := p.acquire(ctx)
 	if err != nil {
 		p.Log.Info("no channel to data node", "node", p.node.ID(), "cause", err)
-		return core.Result{Outcome: core.NotConnected}
+		return core.Result{Outcome: unsent(err)}
 	}
 	p.mu.Lock()
 	barred := p.node.Barred() || a.Late(time.Now())
@@ -327,6 +327,14 @@
 	return r
 }
 
+// unsent is the outcome of a part for which there is no channel.
+func unsent(err error) core.Outcome {
+	if errors.Is(err, errSlots) {
+		return core.NotSent
+	}
+	return core.NotConnected
+}
+
 // lives tells whether a channel comes up at once: a data node that has died refuses it.
 func (p *peer) lives(ctx context.Context) bool {
 	ch, err := p.acquire(ctx)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -43,7 +43,10 @@
 // errSpoilt marks what a data node should not have sent. Its connection can't be read any further.
 var errSpoilt = errors.New("not understood")
 
-// Nodes carries orders to data nodes. Its fields are set before its first use.
+// errSlots marks a connection for which no descriptor came free.
+var errSlots = errors.New("no descriptor left")
+
+// Nodes carries orders to data nodes. Its exported fields are set before its first use.
 type Nodes struct {
 	Core    *core.Core
 	Log     *slog.Logger
@@ -52,6 +55,9 @@
 	Connect time.Duration // within which a connection comes up, a frame is written, a probe is answered
 	Idle    time.Duration // after which the peer closes an idle connection; 0 where not known
 	Slots   chan struct{} // one for each connection that may be open
+
+	mu    sync.Mutex // guards links; taken after a link's own
+	links map[*link]bool
 }
 
 // link is all connections to one data node.
@@ -72,6 +78,7 @@
 	stale  map[string]time.Time
 	nc     net.Conn // nil while it comes up
 	last   string   // the part answered last
+	slot   bool     // it has a descriptor
 	closed bool
 	wrote  bool      // a frame went out on it since it was opened last
 	midway bool      // a frame has begun to come in
@@ -100,6 +107,8 @@
 // Carry serves one data node until it has left the list.
 func (ns *Nodes) Carry(n *core.Node) {
 	l := &link{Nodes: ns, node: n}
+	ns.list(l, true)
+	defer ns.list(l, false)
 	for {
 		o := n.Pick(context.Background())
 		switch {
@@ -120,8 +129,47 @@
 	}
 }
 
-// room returns a connection with room for a call, opening one where there is none; nil where no descriptor is
-// left. One stream stays free, since behind the last one frames wait unread, those that give parts up included. A part that was given up on a connection does not go out on it again: a late answer to
+// list notes a data node's connections for as long as it is served.
+func (ns *Nodes) list(l *link, on bool) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	if ns.links == nil {
+		ns.links = map[*link]bool{}
+	}
+	if ns.links[l] = true; !on {
+		delete(ns.links, l)
+	}
+}
+
+// reap closes the connection to another data node that carries nothing and was used least lately, so that its descriptor
+// comes free: where there are more data nodes than descriptors for them, each gets one in turn. Who asks holds its own
+// link's lock, so that another's is only tried.
+func (ns *Nodes) reap(asks *link) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	var oldest *conn
+	var used time.Time
+	for l := range ns.links {
+		if l == asks || !l.mu.TryLock() {
+			continue
+		}
+		for _, c := range l.conns {
+			if c.nc != nil && c.spare() && (oldest == nil || c.used.Before(used)) {
+				oldest, used = c, c.used
+			}
+		}
+		l.mu.Unlock()
+	}
+	if oldest == nil || !oldest.l.mu.TryLock() {
+		return
+	}
+	defer oldest.l.mu.Unlock()
+	if oldest.spare() {
+		oldest.shut()
+	}
+}
+
+// room returns a connection with room for a call, opening one where there is none. One stream stays free, since behind the last one frames wait unread, those that give parts up included. A part that was given up on a connection does not go out on it again: a late answer to
 // the first sending could not be told from one to the second.
 func (l *link) room(call []*core.Attempt) *conn {
 	now := time.Now()
@@ -137,12 +185,13 @@
 		}
 		return c
 	}
+	c := &conn{l: l, used: now, wake: make(chan struct{}, 1), out: map[string]*sent{}, stale: map[string]time.Time{}}
 	select {
 	case l.Slots <- struct{}{}:
+		c.slot = true
 	default:
-		return nil
+		l.reap(l) // run waits for what comes free
 	}
-	c := &conn{l: l, used: now, wake: make(chan struct{}, 1), out: map[string]*sent{}, stale: map[string]time.Time{}}
 	l.conns = append(l.conns, c)
 	go c.run()
 	return c
@@ -152,13 +201,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.room(call)
-	if c == nil {
-		l.Log.Warn("no descriptor left for a connection", "node", l.node.ID())
-		for _, a := range call {
-			l.Core.Report(a, core.Result{Outcome: core.NotConnected})
-		}
-		return
-	}
 	f := frame{}
 	for _, a := range call {
 		s := &sent{Attempt: a}
@@ -215,10 +257,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.room(nil)
-	if c == nil {
-		l.Core.Probed(l.node, core.Result{Outcome: core.NotConnected})
-		return
-	}
 	p := &probe{}
 	c.push(frame{probe: p})
 	time.AfterFunc(l.Connect, func() { c.probed(p, core.Result{Outcome: core.Dropped}) })
@@ -229,8 +267,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		probing := slices.ContainsFunc(c.probes, func(p *probe) bool { return !p.done })
-		if len(c.out) == 0 && len(c.queue) == 0 && !probing {
+		if c.spare() {
 			c.shut()
 		}
 	}
@@ -280,7 +317,11 @@
 // connection that breaks under parts is opened anew at once: whether that succeeds tells a data node that has died
 // from one that only lost a connection, and what was not begun goes out on it.
 func (c *conn) run() {
-	nc, err := c.open()
+	var nc net.Conn
+	err := c.await()
+	if err == nil {
+		nc, err = c.open()
+	}
 	for err == nil {
 		var reader sync.WaitGroup
 		reader.Go(func() { c.read(nc) })
@@ -297,6 +338,29 @@
 	c.settle(err)
 }
 
+// await waits for a descriptor for as long as a connection may take to come up.
+func (c *conn) await() error {
+	if c.slot {
+		return nil
+	}
+	timer := time.NewTimer(c.l.Connect)
+	defer timer.Stop()
+	select {
+	case c.l.Slots <- struct{}{}:
+		c.slot = true
+		return nil
+	case <-timer.C:
+		c.l.Log.Warn("no descriptor left for a connection", "node", c.l.node.ID())
+		return errSlots
+	}
+}
+
+// spare tells whether a connection carries nothing. The caller holds the lock.
+func (c *conn) spare() bool {
+	probing := slices.ContainsFunc(c.probes, func(p *probe) bool { return !p.done })
+	return !c.closed && len(c.out) == 0 && len(c.queue) == 0 && !probing
+}
+
 // open opens the connection; a first one that was reset is no sign yet.
 func (c *conn) open() (net.Conn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(c.l.Connect))
@@ -370,6 +434,8 @@
 	for _, s := range c.out {
 		outcome := core.NotConnected
 		switch {
+		case errors.Is(err, errSlots):
+			outcome = core.NotSent
 		case !s.at.IsZero() && c.spoilt:
 			outcome = core.Cut
 		case !s.at.IsZero():
@@ -385,7 +451,9 @@
 	for _, p := range c.probes {
 		c.end(p, core.Result{Outcome: core.Reset})
 	}
-	<-c.l.Slots
+	if c.slot {
+		<-c.l.Slots
+	}
 }
 
 // write serves the queue until the connection ends or has been idle for long enough.
--- /dev/null
+++ b/internal/platform/slots_test.go
@@ -0,0 +1,107 @@
+package platform
+
+// More data nodes than descriptors for connections to them.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+	"gullfall/internal/membership"
+)
+
+// TestMoreNodesThanDescriptors: three data nodes share two descriptors. An idle connection makes room for another data
+// node's; while both are in use a part waits for one that comes free, and where none does, the data node is not blamed: it
+// is asked again as soon as there is room. Before, each part beyond was reported as a failed connection, and in a fleet of 172
+// data nodes behind 136 descriptors most queries found no holder that was not taken for dead or cold.
+func TestMoreNodesThanDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 3
+		log := slog.New(slog.DiscardHandler)
+		set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: nodes, Shards: nodes, Reach: 1,
+			Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}},
+			Limits:  aggregator.Limits{Attempts: 3, Cancel: true, ConnectTimeout: 250 * time.Millisecond, ConnIdle: 30 * time.Second},
+			Rules:   aggregator.Rules{FallMultiple: 2, FallWindow: time.Second, ColdShare: 0.01, WarmAfter: 20 * time.Second}}
+		c, err := core.New(set, 1, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		var open, most, takes, number atomic.Int64
+		takes.Store(int64(time.Millisecond))
+		dial := func(context.Context, string) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			most.Store(max(most.Load(), open.Add(1)))
+			go func() {
+				defer func() { theirs.Close(); open.Add(-1) }()
+				in := bufio.NewReader(theirs)
+				for {
+					text, err := frameText(in)
+					if err != nil {
+						return
+					}
+					if id, asked := strings.CutPrefix(text, "Q "); asked {
+						time.Sleep(time.Duration(takes.Load()))
+						io.WriteString(theirs, frameOf("A"+id+" ok 1 -\nv"))
+					}
+				}
+			}()
+			return ours, nil
+		}
+		carrier := &Nodes{Core: c, Log: log, Dial: dial, Streams: 32, Connect: 250 * time.Millisecond, Idle: 30 * time.Second, Slots: make(chan struct{}, 2)}
+		c.Carrier("", carrier.Carry)
+		list := c.Source(membership.Spec{Name: "list"})
+		var all []core.Member
+		for i := range nodes {
+			all = append(all, core.Member{ID: fmt.Sprint("n", i), Addr: fmt.Sprint("n", i), Cell: i, Weight: 1})
+		}
+		list.Replace(all, false)
+		ask := func(shard int) bool {
+			a, err := c.Ask(ctx, core.Query{ID: fmt.Sprint("q", number.Add(1)), Class: "report", Deadline: time.Now().Add(2 * time.Second), Text: "text",
+				Parts: []core.Part{{Shard: shard, Weight: 1}}})
+			return err == nil && a.Verdict == core.Answered
+		}
+		for i := range 12 {
+			if !ask(i % nodes) {
+				t.Errorf("query %d was not answered", i)
+			}
+		}
+		// Both descriptors in use for longer than a part may wait for one.
+		takes.Store(int64(900 * time.Millisecond))
+		done := make(chan bool, 2)
+		for i := range 2 {
+			go func() { done <- ask(i) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		ask(2)
+		takes.Store(int64(time.Millisecond))
+		if a, b := <-done, <-done; !a || !b {
+			t.Errorf("what was out was not answered: %v, %v", a, b)
+		}
+		for i := range 6 {
+			if !ask(2) {
+				t.Errorf("query %d to a data node that was only not asked was not answered", i)
+			}
+		}
+		if most.Load() > 2 {
+			t.Errorf("%d connections were open; there are descriptors for 2", most.Load())
+		}
+		list.Replace(nil, false)
+		time.Sleep(time.Minute)
+		if len(carrier.Slots) > 0 || open.Load() > 0 {
+			t.Errorf("%d descriptors and %d connections were not given back", len(carrier.Slots), open.Load())
+		}
+		stop()
+	})
+}
