Duties: leases, terms and fencing tokens as decisions (internal/lease), not wired yet

Taking machines out for work, and all else that one coordinator does for a fleet, wants a holder that stops before another is granted, whatever stalls.

A table that grants (campaign, renew, resign, a new leader's clock), a holder that counts from when it sent its request and stops after L(1-E)/(1+E), a fence that keeps the highest token.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,271 @@
+// Package lease decides who holds a duty: one coordinator at a time, for a lease with a term, under a fencing token that only
+// grows. It owns the three parts of that: the table that grants (kept by whoever leads the coordinators' store), the holder
+// that must stop acting before its lease can be granted to another, and the fence of a resource that acts on a duty's word. It
+// must never look at a clock, do I/O, or let a holder act on a lease that it can't prove to be its own.
+//
+// The rules, with L the length of a lease and E the bound on clocks: each clock runs between 1-E and 1+E of true time, and is
+// never compared with another's, so that one may jump where its process is started anew, not while it runs.
+//
+//	campaign   granted where the duty is free, or its lease is over by the table's clock: a new term and a higher token
+//	renew      granted to the holder of the term, whether or not it was over, as long as nobody else has been granted
+//	resign     frees the duty at once; the next campaign is granted
+//	holder     may act for L (1-E)/(1+E) by its own clock, counted from when it sent the request that was granted
+//	table      holds the duty for L by its own clock, counted from when it took the request in
+//	new leader it does not know how much of a lease has passed: each is held for L from its first moment on
+//	fence      takes a token that is the highest it has seen, or higher, and turns a lower one back
+//
+// So two holders never act at the same true time: the holder ends by L/(1+E) of true time after it sent, the table begins the
+// next no sooner than L/(1+E) after it took the request in, which is later. What a holder sent before it ended and what arrives
+// after that is the fence's to turn back.
+package lease
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Config are the figures of a duty's leases.
+type Config struct {
+	Length time.Duration // of a lease; 10 s
+	Drift  float64       // by how much clocks may run fast or slow; 0.01
+	Renew  float64       // share of the holder's time after which it renews; 0.4
+}
+
+func (c Config) defaults() Config {
+	if c.Length == 0 {
+		c.Length = 10 * time.Second
+	}
+	if c.Drift == 0 {
+		c.Drift = 0.01
+	}
+	if c.Renew == 0 {
+		c.Renew = 0.4
+	}
+	return c
+}
+
+// Check names the first figure that can't be kept.
+func (c Config) Check() error {
+	c = c.defaults()
+	if c.Length < 0 || !(c.Drift > 0 && c.Drift < 0.5) || !(c.Renew > 0 && c.Renew < 1) {
+		return fmt.Errorf("lease: Length %v, Drift %v, Renew %v: Length is above 0, Drift above 0 and under 0.5, Renew between 0 and 1", c.Length, c.Drift, c.Renew)
+	}
+	return nil
+}
+
+// Acting is how long a holder may act on a lease, by its own clock from when it sent the request.
+func (c Config) Acting() time.Duration {
+	c = c.defaults()
+	return time.Duration(float64(c.Length) * (1 - c.Drift) / (1 + c.Drift))
+}
+
+// Grant is who holds a duty.
+type Grant struct {
+	Duty   string
+	Holder string // empty where it is free
+	Term   uint64 // of the holder's time in it, from its campaign on
+	Token  uint64 // higher with each term; what a fence goes by
+}
+
+// The errors of requests.
+var (
+	ErrHeld = errors.New("the duty is held by another")
+	ErrTerm = errors.New("the term is over: another has been granted the duty since, or it was given back")
+)
+
+// Table grants duties. It is part of the replicated store's state: requests are applied in the order of its log, with the
+// leader's clock as they were taken in. It is not safe for concurrent use.
+type Table struct {
+	c      Config
+	duties map[string]*held
+}
+
+type held struct {
+	Grant
+	until time.Duration // by the leader's clock
+}
+
+// NewTable returns a table in which every duty is free.
+func NewTable(c Config) (*Table, error) {
+	return &Table{c: c.defaults(), duties: map[string]*held{}}, c.Check()
+}
+
+func (t *Table) duty(name string) *held {
+	d := t.duties[name]
+	if d == nil {
+		d = &held{Grant: Grant{Duty: name}}
+		t.duties[name] = d
+	}
+	return d
+}
+
+// Campaign grants a duty that is free, or whose lease is over. The holder itself gets a new term.
+func (t *Table) Campaign(now time.Duration, duty, who string) (Grant, error) {
+	d := t.duty(duty)
+	if d.Holder != "" && d.Holder != who && now < d.until {
+		return d.Grant, fmt.Errorf("%w: %s, in term %d", ErrHeld, d.Holder, d.Term)
+	}
+	d.Holder, d.Term, d.Token, d.until = who, d.Term+1, d.Token+1, now+t.c.Length
+	return d.Grant, nil
+}
+
+// Renew lengthens the holder's lease.
+func (t *Table) Renew(now time.Duration, duty, who string, term uint64) (Grant, error) {
+	d := t.duty(duty)
+	if d.Holder != who || d.Term != term {
+		return d.Grant, ErrTerm
+	}
+	d.until = now + t.c.Length
+	return d.Grant, nil
+}
+
+// Resign frees a duty; one whose term is over has nothing to free.
+func (t *Table) Resign(duty, who string, term uint64) error {
+	d := t.duty(duty)
+	if d.Holder != who || d.Term != term {
+		return ErrTerm
+	}
+	d.Holder, d.until = "", 0
+	return nil
+}
+
+// Led begins a leader's time: its clock is not the one by which leases were granted.
+func (t *Table) Led(now time.Duration) {
+	for _, d := range t.duties {
+		if d.Holder != "" {
+			d.until = now + t.c.Length
+		}
+	}
+}
+
+// Grants lists all duties that were ever held, by name.
+func (t *Table) Grants() (list []Grant) {
+	for _, name := range slices.Sorted(maps.Keys(t.duties)) {
+		list = append(list, t.duties[name].Grant)
+	}
+	return list
+}
+
+// Restore takes over the grants of a snapshot; Led must follow before the next request.
+func (t *Table) Restore(list []Grant) {
+	t.duties = map[string]*held{}
+	for _, g := range list {
+		t.duties[g.Duty] = &held{Grant: g}
+	}
+}
+
+// What is what a holder is to do next.
+type What uint8
+
+// The steps of a holder.
+const (
+	Wait     What = iota // nothing before Next
+	Campaign             // ask for the duty
+	Renew                // lengthen the lease
+)
+
+// Holder is one coordinator's part in one duty. It is not safe for concurrent use.
+type Holder struct {
+	c       Config
+	held    bool
+	grant   Grant
+	until   time.Duration // may act before it
+	sent    time.Duration // when the request that is out was sent
+	out     bool
+	asked   uint64 // number of that request, or of the last one
+	next    time.Duration
+	pause   time.Duration
+	retired bool
+}
+
+// NewHolder returns one that will campaign at first, after a pause of its own (so that not all ask at once).
+func NewHolder(c Config, now, pause time.Duration) *Holder {
+	return &Holder{c: c.defaults(), next: now + pause, pause: max(pause, time.Millisecond)}
+}
+
+// MayAct tells whether the duty may be acted on now, and under which token. It is to be asked before each act; what was asked
+// before a pause of the process says nothing.
+func (h *Holder) MayAct(now time.Duration) (token uint64, ok bool) {
+	if !h.held || h.retired || now >= h.until {
+		return 0, false
+	}
+	return h.grant.Token, true
+}
+
+// Next is when Step has something to say.
+func (h *Holder) Next() time.Duration { return h.next }
+
+// Ask is a request to be sent.
+type Ask struct {
+	What What
+	Term uint64 // Renew: of the lease
+	N    uint64 // goes with the answer, so that a late one is not taken for that of a later request
+}
+
+// Step tells what to send now. A request is out until Granted, Denied or Lost tells of it.
+func (h *Holder) Step(now time.Duration) Ask {
+	if h.retired || h.out || now < h.next {
+		return Ask{}
+	}
+	h.out, h.sent, h.asked = true, now, h.asked+1
+	if h.held && now < h.until {
+		return Ask{Renew, h.grant.Term, h.asked}
+	}
+	h.held = false
+	return Ask{Campaign, 0, h.asked}
+}
+
+// Granted takes in the answer to request n. The lease counts from when that was sent.
+func (h *Holder) Granted(now time.Duration, n uint64, g Grant) {
+	if !h.out || n != h.asked || h.retired {
+		return
+	}
+	h.out, h.held, h.grant = false, true, g
+	h.until = h.sent + h.c.Acting()
+	h.next = h.sent + time.Duration(h.c.Renew*float64(h.c.Acting()))
+	if h.next <= now { // it was long on its way
+		h.next = now + h.c.Acting()/20
+	}
+}
+
+// Denied takes in that another holds the duty, as the answer to request n.
+func (h *Holder) Denied(now time.Duration, n uint64) {
+	if !h.out || n != h.asked {
+		return
+	}
+	h.out, h.held = false, false
+	h.next = now + h.c.Length/4 + h.pause
+}
+
+// Lost takes in that request n got no answer in its time. What is held goes on to its end.
+func (h *Holder) Lost(now time.Duration, n uint64) {
+	if n != h.asked {
+		return
+	}
+	h.out = false
+	h.next = now + h.c.Acting()/20
+}
+
+// Resign stops acting at once, and tells what is to be given back.
+func (h *Holder) Resign() (g Grant, held bool) {
+	h.retired = true
+	return h.grant, h.held
+}
+
+// Fence is a resource's: the highest token that it has seen of each duty. It is not safe for concurrent use.
+type Fence struct{ seen map[string]uint64 }
+
+// Pass tells whether an act under a token may be done.
+func (f *Fence) Pass(duty string, token uint64) error {
+	if high := f.seen[duty]; token < high {
+		return fmt.Errorf("duty %q: token %d is older than %d, which has been used", duty, token, high)
+	}
+	if f.seen == nil {
+		f.seen = map[string]uint64{}
+	}
+	f.seen[duty] = token
+	return nil
+}
