--- a/cmd/gullfall-lab/peers.go
+++ b/cmd/gullfall-lab/peers.go
@@ -43,17 +43,18 @@
 
 // peersReport is what a play showed.
 type peersReport struct {
-	Coordinators int     `json:"coordinators"`
-	Faults       int     `json:"faults"`
-	FalseDead    int     `json:"false_dead"` // by faults within the bounds: pauses up to --bear, loss up to 20%, cuts one way
-	DetectP50MS  float64 `json:"detect_p50_ms"`
-	DetectP99MS  float64 `json:"detect_p99_ms"` // dead to known by all
-	HealP99MS    float64 `json:"heal_p99_ms"`   // all views equal again
-	Disagree     int     `json:"disagree"`      // once the network is whole
-	BytesPerS    float64 `json:"bytes_per_s"`   // a member
-	CPUShare     float64 `json:"cpu_share"`     // of a core, a member
-	Deaths       int     `json:"deaths"`
-	Seed         uint64  `json:"seed"`
+	Coordinators int            `json:"coordinators"`
+	Faults       int            `json:"faults"`
+	FalseDead    int            `json:"false_dead"` // by faults within the bounds: pauses up to --bear, loss up to 20%, cuts one way
+	DetectP50MS  float64        `json:"detect_p50_ms"`
+	DetectP99MS  float64        `json:"detect_p99_ms"` // dead to known by all
+	HealP99MS    float64        `json:"heal_p99_ms"`   // all views equal again
+	Disagree     int            `json:"disagree"`      // once the network is whole
+	BytesPerS    float64        `json:"bytes_per_s"`   // a member
+	CPUShare     float64        `json:"cpu_share"`     // of a core, a member
+	Kinds        map[string]int `json:"kinds"`         // faults by kind
+	Deaths       int            `json:"deaths"`
+	Seed         uint64         `json:"seed"`
 }
 
 func (p *peersCmd) Run() error {
@@ -86,14 +87,14 @@
 
 // play plays faults one after the other; after each, all views must be equal and true again.
 func (p *peersCmd) play(ctx context.Context, f *fleet.Peers) (r peersReport, err error) {
-	r = peersReport{Coordinators: p.Coordinators, Seed: p.Seed}
+	r = peersReport{Coordinators: p.Coordinators, Seed: p.Seed, Kinds: map[string]int{}}
 	rng := rand.New(rand.NewPCG(p.Seed, 0xfa17))
 	const longest = 60 * time.Second
 	if _, err := f.Until(ctx, time.Now().Add(longest)); err != nil {
 		return r, fmt.Errorf("at the start: %w", err)
 	}
 	var detects, heals []time.Duration
-	began, cpu, bytes := time.Now(), p.cpu(f), p.bytes(ctx, f)
+	began, cpu, bytes := time.Now(), p.cpu(f.Coords...), p.bytes(ctx, f, p.all()...)
 	// excused deaths are those that a fault within no bound makes: a crash, both ways cut, a long pause.
 	deaths := func() (n int) {
 		for i := range p.Coordinators {
@@ -110,7 +111,7 @@
 		}
 		before, excused := deaths(), false
 		what := ""
-		switch rng.IntN(8) {
+		switch rng.IntN(10) {
 		case 0, 1:
 			d := p.Bear/4 + time.Duration(rng.Int64N(int64(p.Bear*3/4)))
 			what = fmt.Sprintf("one stalled for %v", d)
@@ -149,7 +150,8 @@
 			f.Cut(i, j, false)
 		case 6:
 			what, excused = "one killed", true
-			from := time.Now()
+			cpu -= p.cpu(f.Coords[i]) // what a process has used and sent goes with it
+			bytes -= p.bytes(ctx, f, i)
 			if err := f.Kill(i); err != nil {
 				return r, err
 			}
@@ -159,10 +161,26 @@
 				r.Disagree++
 			}
 			detects = append(detects, took)
-			_ = from
 			if err := f.Start(ctx, i); err != nil {
 				return r, err
 			}
+		case 8:
+			what = "one starved of processor time"
+			for end := time.Now().Add(15 * p.Period); time.Now().Before(end); { // it gets a twentieth
+				f.Stall(i, true)
+				time.Sleep(95 * time.Millisecond)
+				f.Stall(i, false)
+				time.Sleep(5 * time.Millisecond)
+			}
+		case 9:
+			what = "a ring of cuts one way"
+			for k := range n {
+				f.Cut(k, (k+1)%n, true)
+			}
+			time.Sleep(15 * p.Period)
+			for k := range n {
+				f.Cut(k, (k+1)%n, false)
+			}
 		case 7:
 			what, excused = "split", true
 			side := rng.Perm(n)[:1+rng.IntN(n/2)]
@@ -186,6 +204,7 @@
 		if err != nil {
 			return r, err
 		}
+		r.Kinds[kind(what)]++
 		took, uerr := f.Until(ctx, time.Now().Add(longest))
 		heals = append(heals, took)
 		if uerr != nil {
@@ -202,14 +221,31 @@
 	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	r.DetectP50MS, r.DetectP99MS = ms(peersim.Quantile(detects, 0.5)), ms(peersim.Quantile(detects, 0.99))
 	r.HealP99MS = ms(peersim.Quantile(heals, 0.99))
-	r.BytesPerS = max(0, float64(p.bytes(ctx, f)-bytes)) / took / float64(n)
-	r.CPUShare = max(0, p.cpu(f)-cpu) / took / float64(n)
+	r.BytesPerS = max(0, float64(p.bytes(ctx, f, p.all()...)-bytes)) / took / float64(n)
+	r.CPUShare = max(0, p.cpu(f.Coords...)-cpu) / took / float64(n)
 	return r, nil
 }
 
-// bytes is what all have sent.
-func (p *peersCmd) bytes(ctx context.Context, f *fleet.Peers) (n int64) {
+// kind is a fault without its figures.
+func kind(what string) string {
+	what, _, _ = strings.Cut(what, " for ")
+	if strings.HasSuffix(what, "% lost") {
+		return "lost packets"
+	}
+	return what
+}
+
+// all are the numbers of all coordinators.
+func (p *peersCmd) all() (list []int) {
 	for i := range p.Coordinators {
+		list = append(list, i)
+	}
+	return list
+}
+
+// bytes is what some have sent.
+func (p *peersCmd) bytes(ctx context.Context, f *fleet.Peers, who ...int) (n int64) {
+	for _, i := range who {
 		if v, err := f.View(ctx, i); err == nil {
 			n += v.BytesSent
 		}
@@ -217,9 +253,9 @@
 	return n
 }
 
-// cpu is the processor time of all that run, in seconds; a process that was started anew counts from its start.
-func (p *peersCmd) cpu(f *fleet.Peers) (s float64) {
-	for _, c := range f.Coords {
+// cpu is the processor time of some processes, in seconds.
+func (p *peersCmd) cpu(list ...*fleet.Coordinator) (s float64) {
+	for _, c := range list {
 		raw, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(c.Pid()), "stat"))
 		if err != nil {
 			continue
