--- a/internal/swim/probe.go
+++ b/internal/swim/probe.go
@@ -29,7 +29,7 @@
 	for i := range s.relays {
 		if r := &s.relays[i]; r.nack > 0 && s.now >= r.nack {
 			r.nack = 0
-			s.send(r.to, Message{Kind: Nack, Seq: r.for_})
+			s.send(r.to, Message{Kind: Nack, Seq: r.theirs})
 		}
 	}
 	s.relays = slices.DeleteFunc(s.relays, func(r relay) bool { return s.now >= r.end })
@@ -193,7 +193,7 @@
 			break
 		}
 		s.seq++
-		s.relays = append(s.relays, relay{seq: s.seq, for_: msg.Seq, to: msg.From.Addr, nack: s.now + s.c.Timeout*4/5, end: s.now + s.c.Period})
+		s.relays = append(s.relays, relay{seq: s.seq, theirs: msg.Seq, to: msg.From.Addr, nack: s.now + s.c.Timeout*4/5, end: s.now + s.c.Period})
 		if len(s.relays) > 1024 {
 			s.relays = s.relays[1:]
 		}
@@ -227,7 +227,7 @@
 	}
 	for i, r := range s.relays {
 		if r.seq == msg.Seq {
-			s.send(r.to, Message{Kind: Ack, Seq: r.for_, Via: from.Name})
+			s.send(r.to, Message{Kind: Ack, Seq: r.theirs, Via: from.Name})
 			s.relays = slices.Delete(s.relays, i, i+1)
 			return
 		}
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -232,11 +232,11 @@
 
 // relay is a probe on another's behalf.
 type relay struct {
-	seq  uint32 // ours
-	for_ uint32 // theirs
-	to   string // their address
-	nack time.Duration
-	end  time.Duration
+	seq    uint32 // ours
+	theirs uint32 // theirs
+	to     string // their address
+	nack   time.Duration
+	end    time.Duration
 }
 
 // Swim is one member's view. It is not safe for concurrent use.
