A part that waits for a descriptor keeps looking for an idle connection to close

The test of more data nodes than descriptors failed once where the machine was busy: 3 connections counted as open where 2 may be.

The count, a fault of the test: a connection was counted until its peer had noticed the close, while the descriptor is free once its owner has closed it. Where another carrier held its own at that moment, no idle connection was closed, and the part waited out the connect time with one idle beside it. Nor did a connection that was done during the wait make room.

reap now runs in await, on the connection's own goroutine and without a link's lock, at once and then every 32nd of the connect time. The lock of the links comes before a link's. The test has a case that fails without it (255 ms waited where one comes free after 50 ms).

--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -56,7 +56,7 @@
 	Idle    time.Duration // after which the peer closes an idle connection; 0 where not known
 	Slots   chan struct{} // one for each connection that may be open
 
-	mu    sync.Mutex // guards links; taken after a link's own
+	mu    sync.Mutex // guards links; taken before a link's own
 	links map[*link]bool
 }
 
@@ -141,18 +141,15 @@
 	}
 }
 
-// reap closes the connection to another data node that carries nothing and was used least lately, so that its descriptor
-// comes free: where there are more data nodes than descriptors for them, each gets one in turn. Who asks holds its own
-// link's lock, so that another's is only tried.
-func (ns *Nodes) reap(asks *link) {
+// reap closes the connection that carries nothing and was used least lately, so that its descriptor comes free: where
+// there are more data nodes than descriptors for them, each gets one in turn. No link's lock may be held.
+func (ns *Nodes) reap() {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
 	var oldest *conn
 	var used time.Time
 	for l := range ns.links {
-		if l == asks || !l.mu.TryLock() {
-			continue
-		}
+		l.mu.Lock()
 		for _, c := range l.conns {
 			if c.nc != nil && c.spare() && (oldest == nil || c.used.Before(used)) {
 				oldest, used = c, c.used
@@ -160,17 +157,19 @@
 		}
 		l.mu.Unlock()
 	}
-	if oldest == nil || !oldest.l.mu.TryLock() {
+	if oldest == nil {
 		return
 	}
+	oldest.l.mu.Lock()
 	defer oldest.l.mu.Unlock()
 	if oldest.spare() {
 		oldest.shut()
 	}
 }
 
-// room returns a connection with room for a call, opening one where there is none. One stream stays free, since behind the last one frames wait unread, those that give parts up included. A part that was given up on a connection does not go out on it again: a late answer to
-// the first sending could not be told from one to the second.
+// room returns a connection with room for a call, opening one where there is none. One stream stays free, since behind
+// the last one frames wait unread, those that give parts up included. A part that was given up on a connection does not
+// go out on it again: a late answer to the first sending could not be told from one to the second.
 func (l *link) room(call []*core.Attempt) *conn {
 	now := time.Now()
 next:
@@ -189,8 +188,7 @@
 	select {
 	case l.Slots <- struct{}{}:
 		c.slot = true
-	default:
-		l.reap(l) // run waits for what comes free
+	default: // run waits for what comes free
 	}
 	l.conns = append(l.conns, c)
 	go c.run()
@@ -338,20 +336,27 @@
 	c.settle(err)
 }
 
-// await waits for a descriptor for as long as a connection may take to come up.
+// await waits for a descriptor for as long as a connection may take to come up. It looks again and again for a connection
+// that carries nothing: one that was in use as the wait began may be done before it ends.
 func (c *conn) await() error {
 	if c.slot {
 		return nil
 	}
-	timer := time.NewTimer(c.l.Connect)
-	defer timer.Stop()
-	select {
-	case c.l.Slots <- struct{}{}:
-		c.slot = true
-		return nil
-	case <-timer.C:
-		c.l.Log.Warn("no descriptor left for a connection", "node", c.l.node.ID())
-		return errSlots
+	end := time.NewTimer(c.l.Connect)
+	defer end.Stop()
+	look := time.NewTicker(max(c.l.Connect/32, time.Millisecond))
+	defer look.Stop()
+	for {
+		c.l.reap()
+		select {
+		case c.l.Slots <- struct{}{}:
+			c.slot = true
+			return nil
+		case <-look.C:
+		case <-end.C:
+			c.l.Log.Warn("no descriptor left for a connection", "node", c.l.node.ID())
+			return errSlots
+		}
 	}
 }
 
--- a/internal/platform/slots_test.go
+++ b/internal/platform/slots_test.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,19 @@
 	"gullfall/internal/membership"
 )
 
+// counted takes itself off the number of open connections when its owner closes it: the descriptor is free from then on,
+// whether or not the peer has noticed. Counted at the peer, a verdict hung on which goroutine came first.
+type counted struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // TestMoreNodesThanDescriptors: three data nodes share two descriptors. An idle connection makes room for another data
 // node's; while both are in use a part waits for one that comes free, and where none does, the data node is not blamed: it
 // is asked again as soon as there is room. Before, each part beyond was reported as a failed connection, and in a fleet of 172
@@ -44,7 +58,7 @@
 			ours, theirs := net.Pipe()
 			most.Store(max(most.Load(), open.Add(1)))
 			go func() {
-				defer func() { theirs.Close(); open.Add(-1) }()
+				defer theirs.Close()
 				in := bufio.NewReader(theirs)
 				for {
 					text, err := frameText(in)
@@ -57,7 +71,7 @@
 					}
 				}
 			}()
-			return ours, nil
+			return &counted{Conn: ours, open: &open}, nil
 		}
 		carrier := &Nodes{Core: c, Log: log, Dial: dial, Streams: 32, Connect: 250 * time.Millisecond, Idle: 30 * time.Second, Slots: make(chan struct{}, 2)}
 		c.Carrier("", carrier.Carry)
@@ -94,6 +108,19 @@
 				t.Errorf("query %d to a data node that was only not asked was not answered", i)
 			}
 		}
+		// Both in use for less than that: the part goes out as soon as one of them carries nothing.
+		takes.Store(int64(100 * time.Millisecond))
+		for i := range 2 {
+			go func() { done <- ask(i) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		takes.Store(int64(time.Millisecond))
+		begun := time.Now()
+		if !ask(2) || time.Since(begun) > 100*time.Millisecond {
+			t.Errorf("a part waited %v for a descriptor; one came free after 50 ms", time.Since(begun))
+		}
+		<-done
+		<-done
 		if most.Load() > 2 {
 			t.Errorf("%d connections were open; there are descriptors for 2", most.Load())
 		}
