Store: any member's write is forwarded and taken once, leases and conditions in its state

Until now only the member that leads wrote, and the state was a list of values.

- internal/replica: the replicated state as a decision package.
A command is done whole or not at all: conditions (a key's revision, a duty's token, a presence that is over), one lease, values; a writer's number is taken once.
A command that was stamped in another leader's term than it was logged in is turned back, since its clock could date a lease back.
- internal/store: Do (once, whoever leads, by its deadline), Sync (all that was done before is applied here), learners, routes; the log's traffic and forwarded calls share one listener, told apart by their first byte.

The platform's single member in memory is unchanged in what it does.

--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -10,6 +10,7 @@
 	"io/fs"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -121,11 +122,16 @@
 type Store struct {
 	Directory string
 	Listen    string
+	Heartbeat Span // a leader not heard for so long is replaced; 1s
 	Peer      []Peer
+	Route     []PeerRoute
 }
 
-// Peer is one member of the store.
-type Peer struct{ Name, Addr string }
+// Peer is one member of the store. A learner holds a copy and has no vote.
+type Peer struct {
+	Name, Addr string
+	Learner    bool
+}
 
 // LoadDeploy reads the deploy file; everything is off where there is none.
 func LoadDeploy(path, name string) (Deploy, error) {
@@ -263,7 +269,16 @@
 		self = self || p.Name == name
 		addr(fmt.Sprintf("store.peer[%d].addr", i), p.Addr)
 	}
+	for i, r := range d.Store.Route {
+		addr(fmt.Sprintf("store.route[%d].addr", i), r.Addr)
+		addr(fmt.Sprintf("store.route[%d].via", i), r.Via)
+	}
+	if b := time.Duration(d.Store.Heartbeat); b != 0 && b < 50*time.Millisecond {
+		fault("store.heartbeat: %v; give 50ms or more, longer than the longest pause of a member", b)
+	}
 	switch {
+	case len(d.Store.Peer) > 0 && !slices.ContainsFunc(d.Store.Peer, func(p Peer) bool { return !p.Learner }):
+		fault("store.peer: all are learners; one at least must have a vote")
 	case (d.Store.Listen != "") != (len(d.Store.Peer) > 0):
 		fault("store.listen, store.peer: one needs the other")
 	case len(d.Store.Peer) > 0 && !self:
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -76,27 +76,28 @@
 	ErrTerm = errors.New("the term is over: another has been granted the duty since, or it was given back")
 )
 
-// Table grants duties. It is part of the replicated store's state: requests are applied in the order of its log, with the
+// Table grants duties, each for the same length. It is part of the replicated store's state: requests are applied in the order of its log, with the
 // leader's clock as they were taken in. It is not safe for concurrent use.
 type Table struct {
 	c      Config
-	duties map[string]*held
+	duties map[string]*Kept
 }
 
-type held struct {
+// Kept is a grant as the table's snapshots hold it.
+type Kept struct {
 	Grant
-	until time.Duration // by the leader's clock
+	Until time.Duration // by the clock of the leader that holds the table
 }
 
 // NewTable returns a table in which every duty is free.
 func NewTable(c Config) (*Table, error) {
-	return &Table{c: c.defaults(), duties: map[string]*held{}}, c.Check()
+	return &Table{c: c.defaults(), duties: map[string]*Kept{}}, c.Check()
 }
 
-func (t *Table) duty(name string) *held {
+func (t *Table) duty(name string) *Kept {
 	d := t.duties[name]
 	if d == nil {
-		d = &held{Grant: Grant{Duty: name}}
+		d = &Kept{Grant: Grant{Duty: name}}
 		t.duties[name] = d
 	}
 	return d
@@ -105,10 +106,10 @@
 // Campaign grants a duty that is free, or whose lease is over. The holder itself gets a new term.
 func (t *Table) Campaign(now time.Duration, duty, who string) (Grant, error) {
 	d := t.duty(duty)
-	if d.Holder != "" && d.Holder != who && now < d.until {
+	if d.Holder != "" && d.Holder != who && now < d.Until {
 		return d.Grant, fmt.Errorf("%w: %s, in term %d", ErrHeld, d.Holder, d.Term)
 	}
-	d.Holder, d.Term, d.Token, d.until = who, d.Term+1, d.Token+1, now+t.c.Length
+	d.Holder, d.Term, d.Token, d.Until = who, d.Term+1, d.Token+1, now+t.c.Length
 	return d.Grant, nil
 }
 
@@ -118,7 +119,7 @@
 	if d.Holder != who || d.Term != term {
 		return d.Grant, ErrTerm
 	}
-	d.until = now + t.c.Length
+	d.Until = now + t.c.Length
 	return d.Grant, nil
 }
 
@@ -128,7 +129,7 @@
 	if d.Holder != who || d.Term != term {
 		return ErrTerm
 	}
-	d.Holder, d.until = "", 0
+	d.Holder, d.Until = "", 0
 	return nil
 }
 
@@ -136,11 +137,26 @@
 func (t *Table) Led(now time.Duration) {
 	for _, d := range t.duties {
 		if d.Holder != "" {
-			d.until = now + t.c.Length
+			d.Until = now + t.c.Length
 		}
 	}
 }
 
+// Over tells whether a duty's lease has ended by the table's clock, or nobody holds it: its last holder acts no more.
+func (t *Table) Over(now time.Duration, duty string) bool {
+	d := t.duties[duty]
+	return d == nil || d.Holder == "" || now >= d.Until
+}
+
+// Holds tells whether a token is the present holder's: nobody has been granted the duty since, and it was not given back.
+func (t *Table) Holds(duty string, token uint64) bool {
+	d := t.duties[duty]
+	return d != nil && d.Holder != "" && d.Token == token
+}
+
+// Forget lets go of a duty and of all that is known of it, its tokens included. It is for duties that no fence guards.
+func (t *Table) Forget(duty string) { delete(t.duties, duty) }
+
 // Grants lists all duties that were ever held, by name.
 func (t *Table) Grants() (list []Grant) {
 	for _, name := range slices.Sorted(maps.Keys(t.duties)) {
@@ -149,11 +165,19 @@
 	return list
 }
 
-// Restore takes over the grants of a snapshot; Led must follow before the next request.
-func (t *Table) Restore(list []Grant) {
-	t.duties = map[string]*held{}
+// Snapshot lists all that the table holds, by name.
+func (t *Table) Snapshot() (list []Kept) {
+	for _, name := range slices.Sorted(maps.Keys(t.duties)) {
+		list = append(list, *t.duties[name])
+	}
+	return list
+}
+
+// Restore takes over a snapshot. Led must follow before the next request, unless that comes from the same leader's time.
+func (t *Table) Restore(list []Kept) {
+	t.duties = map[string]*Kept{}
 	for _, g := range list {
-		t.duties[g.Duty] = &held{Grant: g}
+		t.duties[g.Duty] = &g
 	}
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -64,7 +64,7 @@
 		}, Grant{"d", "a", 1, 1}, ErrHeld},
 		{"a new leader counts from its start", func(t *Table) (Grant, error) {
 			t.Campaign(100*s, "d", "a")
-			list := t.Grants()
+			list := t.Snapshot()
 			t.Restore(list)
 			t.Led(5 * s) // another clock
 			return t.Campaign(15*s-1, "d", "b")
@@ -145,7 +145,7 @@
 			ps[rng.IntN(3)].stalled = now + time.Duration(rng.Int64N(int64(25*s)))
 		case 1: // another leads: its clock is another, and it has the table by its log
 			leader = &process{rate: 0.95 + 0.1*rng.Float64(), start: now - time.Duration(rng.Int64N(int64(100*s)))}
-			list := table.Grants()
+			list := table.Snapshot()
 			table.Restore(list)
 			table.Led(leader.clock(now))
 		case 2:
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,171 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"gullfall/internal/lease"
+)
+
+const s = time.Second
+
+func fresh(t interface{ Fatal(...any) }) *State {
+	st, err := New(lease.Config{Length: 10 * s}, lease.Config{Length: 4 * s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return st
+}
+
+func put(key, value string) []Pair { return []Pair{{key, []byte(value)}} }
+
+// TestCommand: each row of the package's table, after one command at index 1 in term 1 that put a=1 and had granted n0 the
+// duty d and its presence at stamp 0.
+func TestCommand(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		index  uint64
+		term   uint64
+		cmd    Command
+		failed string
+		value  string // of a, afterwards
+	}{
+		{"put", 9, 1, Command{LedTerm: 1, Put: put("a", "2")}, "", "2"},
+		{"taken before", 9, 1, Command{ID: ID{"w", 1}, LedTerm: 1, Put: put("a", "2")}, "", "1"},
+		{"of another term than its stamp", 9, 2, Command{LedTerm: 1, Put: put("a", "2")}, Stamp, "1"},
+		{"at its revision", 9, 1, Command{LedTerm: 1, If: []Cond{{Key: "a", Revision: 1}}, Put: put("a", "2")}, "", "2"},
+		{"at another revision", 9, 1, Command{LedTerm: 1, If: []Cond{{Key: "a", Revision: 2}}, Put: put("a", "2")}, Conflict, "1"},
+		{"not there, and it is", 9, 1, Command{LedTerm: 1, If: []Cond{{Key: "a"}}, Put: put("a", "2")}, Conflict, "1"},
+		{"under the duty's token", 9, 1, Command{LedTerm: 1, If: []Cond{{Duty: "d", Token: 1}}, Put: put("a", "2")}, "", "2"},
+		{"under an old token", 9, 1, Command{LedTerm: 1, If: []Cond{{Duty: "d", Token: 0}}, Put: put("a", "2")}, Conflict, "1"},
+		{"while it is present", 9, 1, Command{LedTerm: 1, At: 4*s - 1, If: []Cond{{Lapsed: "n0"}}, Put: put("a", "2")}, Conflict, "1"},
+		{"once its presence is over", 9, 1, Command{LedTerm: 1, At: 4 * s, If: []Cond{{Lapsed: "n0"}}, Put: put("a", "2")}, "", "2"},
+		{"a new leader holds it from its first moment", 9, 2, Command{LedTerm: 2, At: 900 * s, If: []Cond{{Lapsed: "n0"}}, Put: put("a", "2")}, Conflict, "1"},
+		{"a lease that is another's undoes the put", 9, 1, Command{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "d", Who: "n1"}, Put: put("a", "2")}, Held, "1"},
+		{"a term that is over", 9, 1, Command{LedTerm: 1, Lease: &LeaseOp{What: Renew, Duty: "d", Who: "n0", Term: 7}, Put: put("a", "2")}, Over, "1"},
+		{"one that is present is not forgotten", 9, 1, Command{LedTerm: 1, Lease: &LeaseOp{What: Forget, Presence: true, Duty: "n0"}, Put: put("a", "2")}, Held, "1"},
+		{"removed", 9, 1, Command{LedTerm: 1, Put: []Pair{{"a", nil}}}, "", ""},
+		{"the first form", 9, 5, Command{Key: "a", Value: []byte("2")}, "", "2"},
+	} {
+		st := fresh(t)
+		for i, first := range []Command{
+			{ID: ID{"w", 1}, LedTerm: 1, Put: put("a", "1")},
+			{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "d", Who: "n0"}},
+			{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "n0", Presence: true, Who: "n0"}},
+		} {
+			if r, _ := st.Apply(uint64(i+1), 1, &first); r.Failed != "" {
+				t.Fatal(r.Err())
+			}
+		}
+		r, _ := st.Apply(c.index, c.term, &c.cmd)
+		e, _ := st.Get("a")
+		if r.Failed != c.failed || string(e.Value) != c.value {
+			t.Errorf("%s: %q (%s), a is %q; want %q and %q", c.name, r.Failed, r.Why, e.Value, c.failed, c.value)
+		}
+	}
+}
+
+// TestNumbersForgotten: a number that is long past is turned back, not applied anew, and writers stay bounded.
+func TestNumbersForgotten(t *testing.T) {
+	st := fresh(t)
+	for i := uint64(1); i <= 200; i++ {
+		st.Apply(i, 1, &Command{ID: ID{"w", i}, LedTerm: 1, Put: put("a", fmt.Sprint(i))})
+	}
+	if r, _ := st.Apply(201, 1, &Command{ID: ID{"w", 1}, LedTerm: 1, Put: put("a", "again")}); r.Failed != Old {
+		t.Errorf("a number long past: %+v", r)
+	}
+	for i := range uint64(2 * MostWriters) {
+		st.Apply(300+i, 1, &Command{ID: ID{fmt.Sprint("w", i), 1}, LedTerm: 1, Put: put("b", "x")})
+	}
+	if len(st.writers) > MostWriters {
+		t.Errorf("%d writers are remembered", len(st.writers))
+	}
+	last := Command{ID: ID{fmt.Sprint("w", 2*MostWriters-1), 1}, LedTerm: 1, Put: put("b", "twice")}
+	if st.Apply(99999, 1, &last); string(st.values["b"].Value) != "x" {
+		t.Error("the latest writer was forgotten")
+	}
+}
+
+// TestSnapshotAnywhere: two members, of which one goes through a snapshot after any command, come to the same state and the
+// same results; a command that is applied again changes nothing.
+func TestSnapshotAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := fresh(t), fresh(t)
+		var clock time.Duration
+		term := uint64(1)
+		var given []Command
+		for i := range rapid.IntRange(1, 40).Draw(t, "commands") {
+			name := func(of string, n int) string { return of + rapid.StringMatching(fmt.Sprintf("[0-%d]", n)).Draw(t, of) }
+			clock += time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 9).Draw(t, "leader") == 0 {
+				term, clock = term+1, time.Duration(rapid.IntRange(0, 1e6).Draw(t, "clock"))*time.Millisecond
+			}
+			var c Command
+			if len(given) > 0 && rapid.IntRange(0, 4).Draw(t, "again") == 0 {
+				c = given[rapid.IntRange(0, len(given)-1).Draw(t, "which")]
+			} else {
+				c = Command{ID: ID{name("w", 2), uint64(i + 1)}, At: clock, LedTerm: term}
+				switch rapid.IntRange(0, 2).Draw(t, "kind") {
+				case 0:
+					c.Put = put(name("k", 3), fmt.Sprint(i))
+					c.If = []Cond{{Key: c.Put[0].Key, Revision: a.values[c.Put[0].Key].Revision}, {Lapsed: name("n", 2)}}[:rapid.IntRange(0, 2).Draw(t, "conds")]
+				case 1:
+					c.Lease = &LeaseOp{What: Campaign, Duty: name("d", 1), Who: name("n", 2), Presence: rapid.Bool().Draw(t, "presence")}
+				case 2:
+					c.Lease = &LeaseOp{What: Renew, Duty: name("d", 1), Who: name("n", 2), Term: uint64(rapid.IntRange(1, 3).Draw(t, "term"))}
+				}
+				given = append(given, c)
+			}
+			copied := c
+			ra, _ := a.Apply(uint64(i+1), term, &c)
+			rb, _ := b.Apply(uint64(i+1), term, &copied)
+			if d := cmp.Diff(ra, rb); d != "" {
+				t.Fatalf("command %d: results differ: %s", i, d)
+			}
+			if rapid.Bool().Draw(t, "snapshot") {
+				data, err := b.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				b = fresh(t)
+				if err := b.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			x, _ := a.Snapshot()
+			y, _ := b.Snapshot()
+			if d := cmp.Diff(string(x), string(y)); d != "" {
+				t.Fatalf("command %d: states differ: %s", i, d)
+			}
+		}
+	})
+}
+
+// TestRestoreForms: the first form of a snapshot is taken, a later version is turned back with what to do.
+func TestRestoreForms(t *testing.T) {
+	st := fresh(t)
+	if err := st.Restore([]byte(`{"members":"bGlzdA=="}`)); err != nil || string(st.values["members"].Value) != "list" {
+		t.Errorf("the first form: %v, %q", err, st.values["members"].Value)
+	}
+	for _, bad := range []string{`{"Version":3}`, `nonsense`, `{"Version":2,"Values":7}`} {
+		if st.Restore([]byte(bad)) == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, keys := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			st := fresh(b)
+			for i := range b.N {
+				c := Command{ID: ID{fmt.Sprint("w", i%8), uint64(i)}, LedTerm: 1, If: []Cond{{Lapsed: "n9"}}, Put: put(fmt.Sprint("k", i%keys), "value")}
+				st.Apply(uint64(i+1), 1, &c)
+			}
+		})
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,27 +1,32 @@
-// Package store keeps the configuration and the last known list of data nodes in a small replicated store, so
-// that a coordinator that starts without them has something to start from. It owns its log and its members'
-// connections. Nothing waits for it: a write is handed over and made when there is a leader, a read sees what
-// this member has applied, and a lost quorum stops neither. No decision reads what another coordinator wrote.
+// Package store keeps the coordinators' shared state in a small replicated store: configuration, the last known list of data
+// nodes, and, where coordinators may talk, what they settle among themselves (internal/replica). It owns its log and its
+// members' connections. Serving waits for none of it: Put is handed over and made when there is a leader, Get sees what this
+// member has applied, and a lost quorum stops neither. Do and Sync are for what has to be settled; they end with their
+// deadline. It must never say that something was done which may be undone.
 package store
 
 import (
 	"bytes"
-	"encoding/binary"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"os"
-	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
-	"go.etcd.io/bbolt"
 
 	"gullfall/internal/config"
+	"gullfall/internal/lease"
+	"gullfall/internal/replica"
 )
 
 // The keys that are kept.
@@ -30,30 +35,51 @@
 	Members  = "members"
 )
 
-// Store is one member.
-type Store struct {
-	log  *slog.Logger
-	raft *raft.Raft
-	logs raft.LogStore
-	disk *disk // nil where all is kept in memory
-
-	mu     sync.Mutex
-	values map[string][]byte // applied
-	want   map[string][]byte // to be written, the latest of each key
-	wake   chan struct{}
-	ended  chan struct{}
+// Options are the figures of the state, the same at every member.
+type Options struct {
+	Duties, Presence lease.Config
 }
 
-// entry is one write.
-type entry struct {
-	Key   string
-	Value []byte
+// Store is one member.
+type Store struct {
+	log    *slog.Logger
+	name   string
+	raft   *raft.Raft
+	logs   raft.LogStore
+	disk   *disk  // nil where all is kept in memory
+	layer  *layer // nil where it is alone
+	start  time.Time
+	writer string
+	number atomic.Uint64
+
+	mu      sync.Mutex
+	state   *replica.State
+	boot    map[string][]byte // as this member had applied it before its start, up to bootAt
+	bootAt  uint64
+	want    map[string][]byte // to be written, the latest of each key
+	changed chan struct{}     // closed when something is applied
+	wake    chan struct{}
+	ended   chan struct{}
 }
 
 // Open starts the member called name; what it had applied on disk can be read at once.
 func Open(cfg config.Store, name string, log *slog.Logger) (*Store, error) {
-	s := &Store{log: log, values: map[string][]byte{}, want: map[string][]byte{}, wake: make(chan struct{}, 1),
+	return OpenWith(cfg, name, log, Options{})
+}
+
+// OpenWith is Open with figures of its own for leases.
+func OpenWith(cfg config.Store, name string, log *slog.Logger, o Options) (*Store, error) {
+	s := &Store{log: log, name: name, start: time.Now(), want: map[string][]byte{}, wake: make(chan struct{}, 1), changed: make(chan struct{}),
 		ended: make(chan struct{})}
+	var err error
+	if s.state, err = replica.New(o.Duties, o.Presence); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	var process [6]byte
+	if _, err := rand.Read(process[:]); err != nil {
+		return nil, err
+	}
+	s.writer = name + "/" + hex.EncodeToString(process[:])
 	conf := raft.DefaultConfig()
 	conf.LocalID = raft.ServerID(name)
 	// Little is kept of the log beside the latest values: each change of the list is an entry of its length.
@@ -71,7 +97,7 @@
 			return nil, fmt.Errorf("store.directory: %w", err)
 		}
 		s.disk = d
-		if s.values, err = d.read(); err != nil {
+		if s.boot, s.bootAt, err = d.read(); err != nil {
 			return nil, fmt.Errorf("store.directory: %w", err)
 		}
 		files, err := raft.NewFileSnapshotStoreWithLogger(cfg.Directory, 2, conf.Logger)
@@ -88,13 +114,22 @@
 		conf.LeaderLeaseTimeout = 100 * time.Millisecond
 		_, transport = raft.NewInmemTransport(raft.ServerAddress(name))
 	} else {
-		tcp, err := raft.NewTCPTransportWithLogger(cfg.Listen, nil, 2, time.Second, conf.Logger)
-		if err != nil {
+		if beat := time.Duration(cfg.Heartbeat); beat > 0 {
+			conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = beat, beat, beat/2
+		}
+		if s.layer, err = listen(cfg, s); err != nil {
 			return nil, fmt.Errorf("store.listen: %w", err)
 		}
-		transport, servers = tcp, nil
+		// What is long under way holds up a log: a few heartbeats.
+		transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.layer, MaxPool: 2,
+			Timeout: 2 * conf.HeartbeatTimeout, Logger: conf.Logger})
+		servers = nil
 		for _, p := range cfg.Peer {
-			servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Addr)})
+			server := raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Addr)}
+			if p.Learner {
+				server.Suffrage = raft.Nonvoter
+			}
+			servers = append(servers, server)
 		}
 	}
 	known, err := raft.HasExistingState(logs, stable, snapshots)
@@ -108,18 +143,44 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	s.logs = logs
+	if s.layer != nil {
+		s.layer.serve()
+	}
 	go s.write()
 	return s, nil
 }
 
-// Get returns what this member has applied under a key, nil for nothing.
+// Get returns what this member has applied under a key, nil for nothing. Until it has caught up with what it had applied before
+// its start, that is what it tells.
 func (s *Store) Get(key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return bytes.Clone(s.values[key])
+	if s.state.Index() < s.bootAt || s.state.Index() == 0 {
+		return bytes.Clone(s.boot[key])
+	}
+	e, _ := s.state.Get(key)
+	return bytes.Clone(e.Value)
+}
+
+// Look lets f read the state as this member has applied it. f must not keep it, nor wait for anything.
+func (s *Store) Look(f func(*replica.State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.state)
 }
 
-// Put hands over a value and returns at once. The leader writes it; the others hold what the leader was told.
+// Changed is closed once something further is applied.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Lasting tells whether what this member applies is still there after a restart.
+func (s *Store) Lasting() bool { return s.disk != nil }
+
+// Put hands over a value and returns at once. The leader writes what all share; a key that ends with a member's name is that
+// member's own, and is written from wherever it is.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
 	s.want[key] = bytes.Clone(value)
@@ -130,244 +191,213 @@
 	}
 }
 
-// Close ends the member.
-func (s *Store) Close() error {
-	close(s.ended)
-	err := s.raft.Shutdown().Error()
-	if s.disk != nil {
-		err = s.disk.db.Close()
-	}
-	return err
-}
+// retry is the pause before a command is tried again that found no leader.
+const retry = 20 * time.Millisecond
 
-// write brings what is wanted into the store whenever this member leads.
-func (s *Store) write() {
-	again := time.NewTicker(time.Second)
-	defer again.Stop()
+// Do has a command logged and applied once, whoever leads, and returns what it came to. An error means that this is not known,
+// as ctx ended first; it may be done yet, once.
+func (s *Store) Do(ctx context.Context, c replica.Command) (replica.Result, error) {
+	if err := c.Check(); err != nil {
+		return replica.Result{}, err
+	}
+	c.ID = replica.ID{Writer: s.writer, N: s.number.Add(1)}
+	var last error
 	for {
-		select {
-		case <-s.ended:
-			return
-		case <-s.wake:
-		case <-s.raft.LeaderCh():
-		case <-again.C:
+		r, err := s.ask(ctx, call{Command: &c})
+		if err == nil && r.Failed != replica.Stamp {
+			return r, nil
 		}
-		if s.raft.State() != raft.Leader {
-			continue
+		if err != nil {
+			last = err
 		}
-		s.mu.Lock()
-		want := maps.Clone(s.want)
-		s.mu.Unlock()
-		for key, value := range want {
-			data, _ := json.Marshal(entry{key, value})
-			if !bytes.Equal(s.Get(key), value) {
-				if err := s.raft.Apply(data, time.Second).Error(); err != nil {
-					s.log.Warn("store did not take a value; serving goes on", "key", key, "cause", err)
-					continue
-				}
-			}
-			s.mu.Lock()
-			if bytes.Equal(s.want[key], value) {
-				delete(s.want, key)
-			}
-			s.mu.Unlock()
+		if err := s.pause(ctx); err != nil {
+			return replica.Result{}, errors.Join(err, last)
 		}
 	}
 }
 
-// machine is the Store as the replicated log sees it.
-type machine Store
-
-// Apply takes in one entry of the log.
-func (m *machine) Apply(l *raft.Log) any {
-	var e entry
-	if err := json.Unmarshal(l.Data, &e); err != nil {
-		m.log.Error("entry of the store not understood", "index", l.Index, "cause", err)
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.values[e.Key] = e.Value
-	return m.keep()
-}
-
-// keep writes what is applied to the disk, where there is one. The caller holds the lock.
-func (m *machine) keep() error {
-	if m.disk == nil {
+func (s *Store) pause(ctx context.Context) error {
+	timer := time.NewTimer(retry)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.ended:
+		return errEnded
+	case <-timer.C:
 		return nil
 	}
-	err := m.disk.write(m.values)
-	if err != nil {
-		m.log.Error("store can't be written", "cause", err)
-	}
-	return err
 }
 
-// Snapshot copies all values.
-func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return snapshot(maps.Clone(m.values)), nil
-}
+var (
+	errEnded    = errors.New("the store has ended")
+	errNoLeader = errors.New("the store has no leader")
+)
 
-// Restore replaces all values.
-func (m *machine) Restore(r io.ReadCloser) error {
-	defer r.Close()
-	values := map[string][]byte{}
-	if err := json.NewDecoder(r).Decode(&values); err != nil {
-		return err
+// ask puts a call to the leader, wherever it is.
+func (s *Store) ask(ctx context.Context, c call) (replica.Result, error) {
+	if s.raft.State() == raft.Leader {
+		return s.lead(ctx, c)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.values = values
-	return m.keep()
-}
-
-type snapshot map[string][]byte
-
-// Persist writes a snapshot out.
-func (s snapshot) Persist(sink raft.SnapshotSink) error {
-	if err := json.NewEncoder(sink).Encode(s); err != nil {
-		sink.Cancel()
-		return err
+	addr, id := s.raft.LeaderWithID()
+	if addr == "" || s.layer == nil || string(id) == s.name {
+		return replica.Result{}, errNoLeader
 	}
-	return sink.Close()
+	return s.layer.call(ctx, string(addr), c)
 }
 
-// Release has nothing to give back.
-func (s snapshot) Release() {}
-
-// disk keeps the log, the member's votes and the applied values in one file.
-type disk struct{ db *bbolt.DB }
-
-var (
-	bucketLog    = []byte("log")
-	bucketStable = []byte("stable")
-	bucketValues = []byte("values")
-)
-
-func openDisk(dir string) (*disk, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, err
+// lead serves a call at the leader.
+func (s *Store) lead(ctx context.Context, c call) (r replica.Result, err error) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = time.Now().Add(longest)
+	}
+	if c.Command == nil {
+		if err := s.raft.Barrier(time.Until(end)).Error(); err != nil {
+			return r, err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return replica.Result{Index: s.state.Index()}, nil
+	}
+	// The stamp: the term is read before and after, so that the clock is that of this term's leader while it leads.
+	term := s.raft.CurrentTerm()
+	if s.raft.State() != raft.Leader || s.raft.CurrentTerm() != term {
+		return r, errNoLeader
 	}
-	db, err := bbolt.Open(filepath.Join(dir, "store.db"), 0o600, &bbolt.Options{Timeout: time.Second})
+	stamped := *c.Command
+	stamped.At, stamped.LedTerm = time.Since(s.start), term
+	data, err := json.Marshal(stamped)
 	if err != nil {
-		return nil, err
+		return r, err
 	}
-	return &disk{db}, db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{bucketLog, bucketStable, bucketValues} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-}
-
-func (d *disk) read() (map[string][]byte, error) {
-	values := map[string][]byte{}
-	return values, d.db.View(func(tx *bbolt.Tx) error {
-		return tx.Bucket(bucketValues).ForEach(func(k, v []byte) error {
-			values[string(k)] = bytes.Clone(v)
-			return nil
-		})
-	})
+	f := s.raft.Apply(data, time.Until(end))
+	if err := f.Error(); err != nil {
+		return r, err
+	}
+	if r, ok = f.Response().(replica.Result); !ok {
+		return r, fmt.Errorf("the store could not apply it: %v", f.Response())
+	}
+	return r, nil
 }
 
-func (d *disk) write(values map[string][]byte) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		for k, v := range values {
-			if err := tx.Bucket(bucketValues).Put([]byte(k), v); err != nil {
-				return err
-			}
+// Sync returns once this member has applied everything that was done before the call, wherever that was.
+func (s *Store) Sync(ctx context.Context) error {
+	for {
+		r, err := s.ask(ctx, call{})
+		if err == nil {
+			return s.Wait(ctx, r.Index)
 		}
-		return nil
-	})
+		if err2 := s.pause(ctx); err2 != nil {
+			return errors.Join(err2, err)
+		}
+	}
 }
 
-func place(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
-
-// end reads the index at one end of the log, 0 for an empty one.
-func (d *disk) end(seek func(*bbolt.Cursor) ([]byte, []byte)) (index uint64, err error) {
-	err = d.db.View(func(tx *bbolt.Tx) error {
-		if k, _ := seek(tx.Bucket(bucketLog).Cursor()); k != nil {
-			index = binary.BigEndian.Uint64(k)
+// Wait returns once this member has applied the log up to an index.
+func (s *Store) Wait(ctx context.Context, index uint64) error {
+	for {
+		s.mu.Lock()
+		at, changed := s.state.Index(), s.changed
+		s.mu.Unlock()
+		if at >= index {
+			return nil
 		}
-		return nil
-	})
-	return index, err
+		select {
+		case <-changed:
+		case <-s.ended:
+			return errEnded
+		case <-ctx.Done():
+			return fmt.Errorf("this member has applied the log up to %d, not %d: %w", at, index, ctx.Err())
+		}
+	}
 }
 
-// FirstIndex and the methods below are the library's LogStore and StableStore.
-func (d *disk) FirstIndex() (uint64, error) { return d.end((*bbolt.Cursor).First) }
-
-// LastIndex is the index of the latest entry.
-func (d *disk) LastIndex() (uint64, error) { return d.end((*bbolt.Cursor).Last) }
+// Status is how one member sees the store.
+type Status struct {
+	Name   string
+	State  string // Leader, Follower, Candidate, Shutdown
+	Leader string // empty for none
+	Term   uint64
+	Index  uint64 // applied
+	Heard  time.Duration
+	Peers  map[string]string // suffrage by name
+}
 
-// GetLog reads an entry.
-func (d *disk) GetLog(index uint64, l *raft.Log) error {
-	return d.db.View(func(tx *bbolt.Tx) error {
-		data := tx.Bucket(bucketLog).Get(place(index))
-		if data == nil {
-			return raft.ErrLogNotFound
+// Status tells how this member sees the store now.
+func (s *Store) Status() Status {
+	_, leader := s.raft.LeaderWithID()
+	st := Status{Name: s.name, State: s.raft.State().String(), Leader: string(leader), Term: s.raft.CurrentTerm(), Peers: map[string]string{}}
+	if at := s.raft.LastContact(); !at.IsZero() && st.State != "Leader" {
+		st.Heard = time.Since(at)
+	}
+	if f := s.raft.GetConfiguration(); f.Error() == nil {
+		for _, p := range f.Configuration().Servers {
+			st.Peers[string(p.ID)] = strings.ToLower(p.Suffrage.String())
 		}
-		return json.Unmarshal(data, l)
-	})
+	}
+	s.mu.Lock()
+	st.Index = s.state.Index()
+	s.mu.Unlock()
+	return st
 }
 
-// StoreLog writes an entry.
-func (d *disk) StoreLog(l *raft.Log) error { return d.StoreLogs([]*raft.Log{l}) }
+// Close ends the member.
+func (s *Store) Close() error {
+	close(s.ended)
+	err := s.raft.Shutdown().Error()
+	if s.layer != nil {
+		s.layer.Close()
+	}
+	if s.disk != nil {
+		err = errors.Join(err, s.disk.db.Close())
+	}
+	return err
+}
 
-// StoreLogs writes entries.
-func (d *disk) StoreLogs(logs []*raft.Log) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		for _, l := range logs {
-			data, err := json.Marshal(l)
-			if err == nil {
-				err = tx.Bucket(bucketLog).Put(place(l.Index), data)
+// write brings what is wanted into the store: whatever it is while this member leads, else what is its own.
+func (s *Store) write() {
+	again := time.NewTicker(time.Second)
+	defer again.Stop()
+	for {
+		select {
+		case <-s.ended:
+			return
+		case <-s.wake:
+		case <-s.raft.LeaderCh():
+		case <-again.C:
+		}
+		leads := s.raft.State() == raft.Leader
+		s.mu.Lock()
+		want := maps.Clone(s.want)
+		s.mu.Unlock()
+		for key, value := range want {
+			if !leads && !strings.HasSuffix(key, "/"+s.name) {
+				continue
 			}
-			if err != nil {
-				return err
+			s.mu.Lock()
+			e, _ := s.state.Get(key)
+			same := bytes.Equal(e.Value, value)
+			s.mu.Unlock()
+			if !same {
+				ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+				r, err := s.ask(ctx, call{Command: &replica.Command{Put: []replica.Pair{{Key: key, Value: value}}}})
+				cancel()
+				if err == nil {
+					err = r.Err()
+				}
+				if err != nil {
+					if leads {
+						s.log.Warn("store did not take a value; serving goes on", "key", key, "cause", err)
+					}
+					continue
+				}
 			}
-		}
-		return nil
-	})
-}
-
-// DeleteRange removes entries, both ends included.
-func (d *disk) DeleteRange(first, last uint64) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		for i := first; i <= last; i++ {
-			if err := tx.Bucket(bucketLog).Delete(place(i)); err != nil {
-				return err
+			s.mu.Lock()
+			if bytes.Equal(s.want[key], value) {
+				delete(s.want, key)
 			}
+			s.mu.Unlock()
 		}
-		return nil
-	})
-}
-
-// Set keeps a figure of the member.
-func (d *disk) Set(key, value []byte) error {
-	return d.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketStable).Put(key, value) })
-}
-
-// Get reads a figure of the member, none for one that is not kept.
-func (d *disk) Get(key []byte) (value []byte, err error) {
-	err = d.db.View(func(tx *bbolt.Tx) error {
-		value = bytes.Clone(tx.Bucket(bucketStable).Get(key))
-		return nil
-	})
-	return value, err
-}
-
-// SetUint64 keeps a number.
-func (d *disk) SetUint64(key []byte, value uint64) error { return d.Set(key, place(value)) }
-
-// GetUint64 reads a number, 0 for one that is not kept.
-func (d *disk) GetUint64(key []byte) (uint64, error) {
-	value, err := d.Get(key)
-	if err != nil || len(value) != 8 {
-		return 0, err
 	}
-	return binary.BigEndian.Uint64(value), nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,14 +1,18 @@
 package store
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gullfall/internal/config"
+	"gullfall/internal/replica"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -127,3 +131,93 @@
 	all[0].Close()
 	all[1].Close()
 }
+
+// fleetOf opens three members with a vote and one learner, each with a disk of its own.
+func fleetOf(t *testing.T) (all []*Store, reopen func(i int)) {
+	t.Helper()
+	var peers []config.Peer
+	var dirs []string
+	for i := range 4 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, config.Peer{Name: fmt.Sprintf("n%d", i), Addr: ln.Addr().String(), Learner: i == 3})
+		dirs = append(dirs, t.TempDir())
+		ln.Close()
+	}
+	all = make([]*Store, 4)
+	reopen = func(i int) {
+		all[i] = open(t, config.Store{Directory: dirs[i], Listen: peers[i].Addr, Peer: peers, Heartbeat: config.Span(300 * time.Millisecond)}, peers[i].Name)
+	}
+	for i := range all {
+		reopen(i)
+	}
+	return all, reopen
+}
+
+// TestForwardedOnce: every member, the learner too, counts the same value up by compare-and-set while leaders are closed and
+// opened anew; each step that was told done, and no other, is in the sum.
+func TestForwardedOnce(t *testing.T) {
+	all, reopen := fleetOf(t)
+	var mu sync.Mutex // guards all
+	at := func(i int) *Store {
+		mu.Lock()
+		defer mu.Unlock()
+		return all[i]
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(60*time.Second))
+	defer cancel()
+	var done, unknown atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := 0; n < 15 && ctx.Err() == nil; {
+				s := at(i)
+				one, end := context.WithDeadline(ctx, time.Now().Add(5*time.Second))
+				if s.Sync(one) == nil {
+					var e replica.Entry
+					s.Look(func(st *replica.State) { e, _ = st.Get("sum") })
+					sum := 0
+					fmt.Sscan(string(e.Value), &sum)
+					r, err := s.Do(one, replica.Command{If: []replica.Cond{{Key: "sum", Revision: e.Revision}}, Put: []replica.Pair{{Key: "sum", Value: fmt.Append(nil, sum+1)}}})
+					switch {
+					case err != nil:
+						unknown.Add(1)
+					case r.Failed == "":
+						done.Add(1)
+						n++
+					}
+				} else {
+					time.Sleep(10 * time.Millisecond)
+				}
+				end()
+			}
+		})
+	}
+	for range 3 {
+		time.Sleep(300 * time.Millisecond)
+		for i := range 3 {
+			if s := at(i); s.Status().State == "Leader" {
+				s.Close()
+				time.Sleep(100 * time.Millisecond)
+				mu.Lock()
+				reopen(i)
+				mu.Unlock()
+				break
+			}
+		}
+	}
+	wg.Wait()
+	if err := at(3).Sync(ctx); err != nil {
+		t.Fatal(err)
+	}
+	sum := int64(0)
+	fmt.Sscan(string(at(3).Get("sum")), &sum)
+	if sum < done.Load() || sum > done.Load()+unknown.Load() || done.Load() != 60 {
+		t.Errorf("the sum is %d; %d steps were told done, of %d it is not known", sum, done.Load(), unknown.Load())
+	}
+	for _, s := range all {
+		s.Close()
+	}
+}
