--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -20,6 +20,8 @@
 	Check   checkCmd   `cmd:"" help:"Read and check all configuration; name every faulty key."`
 	Dnssd   dnssdCmd   `cmd:"" name:"dnssd" help:"Show what DNS-SD records say of data nodes."`
 	Peers   peersCmd   `cmd:"" help:"Show who of the coordinators is there, and who reaches whom."`
+	Work    workCmd    `cmd:"" help:"Take data nodes out for work, in an order that the coordinators settle among themselves."`
+	Duties  dutiesCmd  `cmd:"" help:"Show which coordinator holds which duty, or hand one on."`
 	Version versionCmd `cmd:"" help:"Say which version this is."`
 }
 
--- a/cmd/gullfall/peers.go
+++ b/cmd/gullfall/peers.go
@@ -21,6 +21,7 @@
 	"gullfall/internal/admin"
 	"gullfall/internal/config"
 	"gullfall/internal/gossip"
+	"gullfall/internal/steward"
 	"gullfall/internal/store"
 	"gullfall/internal/swim"
 )
@@ -99,8 +100,9 @@
 }
 
 // commandsOf are the commands that the parts which are on serve.
-func commandsOf(talk *gossip.Gossip) map[string]admin.Command {
+func commandsOf(talk *gossip.Gossip, work *steward.Steward) map[string]admin.Command {
 	commands := map[string]admin.Command{}
+	workCommands(commands, work)
 	if talk == nil {
 		return commands
 	}
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"gullfall/aggregator"
 	"gullfall/internal/admin"
 	"gullfall/internal/config"
 	"gullfall/internal/core"
@@ -102,6 +103,9 @@
 			return err
 		}
 	}
+	if deploy.Work.Enabled {
+		c.WatchWork()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.Run(ctx)
@@ -128,9 +132,10 @@
 	if err != nil {
 		return err
 	}
+	work := startWork(deploy, cfg, c, kept, log)
 	var operators *admin.Server
 	if deploy.Admin.Socket != "" {
-		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk), log); err != nil {
+		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk, work), log); err != nil {
 			return err
 		}
 		defer operators.Close()
@@ -173,14 +178,20 @@
 	if own != nil {
 		own.Withdraw() // first of all: who finds us by our records is to find another
 	}
-	longest := time.Duration(0)
-	for _, class := range cfg.Settings.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	drain(c, clients, second, ln, signals, time.Now().Add(longest+readUntil), log)
+	leaveWork(work, log)
+	answered := drain(c, clients, second, ln, signals, time.Now().Add(longest(cfg.Settings)+readUntil), log)
+	endWork(work, answered && c.Open() == 0)
 	return nil
 }
 
+// longest is the longest time that a query of any class may take.
+func longest(set aggregator.Settings) (most time.Duration) {
+	for _, class := range set.Classes {
+		most = max(most, class.Deadline)
+	}
+	return most
+}
+
 // limit holds the runtime to what the configuration gives: the rest of the memory is for what Go does not count.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(l.Cores)))
@@ -337,9 +348,10 @@
 	}
 }
 
-// drain goes on serving while clients still come, then answers what is open and returns, at end at the latest.
+// drain goes on serving while clients still come, then answers what is open and returns, at end at the latest. It tells whether
+// all was answered and read.
 func drain(c *core.Core, clients *platform.Clients, second *flight.Server, ln net.Listener,
-	signals <-chan os.Signal, end time.Time, log *slog.Logger) {
+	signals <-chan os.Signal, end time.Time, log *slog.Logger) (answered bool) {
 	clients.Drain()
 	time.Sleep(restUntil)
 	clients.CloseIdle()
@@ -355,9 +367,11 @@
 	select {
 	case <-done:
 		log.Info("drained")
+		return true
 	case <-time.After(time.Until(end)):
 		log.Warn("ended while clients still read their answers", "open", c.Open())
 	case <-signals:
 		log.Warn("ended by a second signal", "open", c.Open())
 	}
+	return false
 }
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -35,6 +35,7 @@
 	Membership Membership
 	Node       []Node
 	Store      Store
+	Work       Work
 	Zones      Zones
 	Peers      Peers
 	Admin      Admin
@@ -159,6 +160,7 @@
 }
 
 func (d *Deploy) defaults() {
+	d.Work.defaults()
 	for _, v := range []struct {
 		to *string
 		by string
@@ -260,6 +262,7 @@
 		}
 	}
 	faults = append(faults, d.Peers.check()...)
+	faults = append(faults, d.Work.check(d.Store)...)
 	addr("store.listen", d.Store.Listen)
 	self := false
 	for i, p := range d.Store.Peer {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -173,6 +173,7 @@
 	carriers map[string]Carry // by protocol
 	listed   bool             // some source has told a whole list
 	zones    *zoneWatch       // nil where zones are not watched
+	work     *workWatch       // nil where machines are not taken out for work
 
 	// The loop's own.
 	agg      *aggregator.Aggregator
@@ -391,6 +392,7 @@
 func (c *Core) Probed(n *Node, r Result) {
 	c.saw(n, r.Outcome)
 	c.zoneSaw(n, nil, r.Outcome, time.Now())
+	c.workSaw(n, r.Outcome, r.Load, time.Now())
 	c.log.Debug("probe ended", "node", n.id, "end", words[r.Outcome])
 	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
 		Report: r.Load}})
@@ -450,6 +452,10 @@
 	if changed {
 		events = append([]aggregator.Event{zoned}, events...)
 	}
+	lapsed, changed, workNext := c.workStep(now)
+	if changed {
+		events = append([]aggregator.Event{lapsed}, events...)
+	}
 	for _, q := range c.queries {
 		if !now.Before(q.Deadline) {
 			// The module ends queries earlier; this is the backstop that no query outlives its client.
@@ -476,8 +482,10 @@
 	if !c.wake.IsZero() && c.wake.Before(next) {
 		next = c.wake
 	}
-	if !zoneNext.IsZero() && zoneNext.Before(next) {
-		next = zoneNext
+	for _, t := range []time.Time{zoneNext, workNext} {
+		if !t.IsZero() && t.Before(next) {
+			next = t
+		}
 	}
 	c.mu.Lock()
 	if due = c.table.Next(); !due.IsZero() && due.Before(next) {
@@ -560,6 +568,7 @@
 		a.node.hold(-1)
 		c.saw(a.node, in.end)
 		c.zoneSaw(a.node, a, in.end, now)
+		c.workSaw(a.node, in.end, in.event.Report, now)
 		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
 			in.event.Outcome = a.why
 		}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -41,6 +41,8 @@
 	ready   chan struct{}
 	out     int  // attempts without an end
 	retired bool // it has left the list; its carrier ends once nothing is out
+
+	announced atomic.Bool // may go out for work: to be sent to only while this coordinator is present
 }
 
 // ID is the data node's name in its list.
@@ -54,7 +56,7 @@
 }
 
 // Barred tells that the list says draining or gone: nothing more may be written to it, queued calls included.
-func (n *Node) Barred() bool { return n.barred.Load() }
+func (n *Node) Barred() bool { return n.barred.Load() || n.announced.Load() && n.c.absent() }
 
 // Pick waits for the next order. It returns nil once the data node has left the list
 // and nothing of it is out.
@@ -92,6 +94,11 @@
 func (n *Node) hold(by int) {
 	n.c.mu.Lock()
 	n.out += by
+	if w := n.c.work; w != nil {
+		if w.outs[n.id] += by; w.outs[n.id] == 0 {
+			delete(w.outs, n.id)
+		}
+	}
 	n.c.mu.Unlock()
 	n.signal()
 }
@@ -272,7 +279,8 @@
 		go carry(n)
 	}
 	n.member = m
-	n.bar(m.State != Serving)
+	n.announced.Store(c.mayGo(m))
+	n.bar(m.State != Serving || c.inWork(m))
 }
 
 // bar sets whether anything new may be begun at the data node; what waits for it there is to be turned back. The
@@ -300,7 +308,7 @@
 	if !m.Started.IsZero() {
 		out.Started = max(c.clock(m.Started), time.Nanosecond)
 	}
-	return c.zoned(m, out)
+	return c.worked(m, c.zoned(m, out))
 }
 
 // node finds a listed data node.
--- /dev/null
+++ b/internal/lab/fleet/work.go
@@ -0,0 +1,524 @@
+package fleet
+
+// This file owns coordinators of the real program that take machines out for work together: members of one store, each pair
+// behind a fault proxy in each direction, before stand-in data nodes in three zones; clients that ask all the time, and the
+// hands that work on what is handed over. It must never end a process that it has not started, and gives all back in Stop.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gullfall/internal/admin"
+	"gullfall/internal/lab/directory"
+	"gullfall/internal/lab/load"
+	"gullfall/internal/lab/nodes"
+	"gullfall/internal/lab/proxy"
+	"gullfall/internal/maintenance"
+	"gullfall/internal/steward"
+)
+
+// The layout of the lab's works: each zone holds every cell where it has four data nodes.
+const (
+	workCells  = 4
+	workShards = 8
+	workReach  = 2
+)
+
+// WorksOptions say what is started.
+type WorksOptions struct {
+	Coordinators, Voters int
+	PerZone              int
+	Rate                 float64 // queries a second at each coordinator
+	Floor                int
+	Share                float64
+	Bound, Lease, Warm   time.Duration
+	Heartbeat            time.Duration
+	Work                 time.Duration // that the hands take for a machine
+	Binary               string
+	Seed                 uint64
+}
+
+// Works are the coordinators, the data nodes and the hands.
+type Works struct {
+	o      WorksOptions
+	dir    *directory.Directory
+	folder string
+	Ledger *nodes.Ledger
+	Nodes  []*nodes.Node
+	Coords []*Coordinator
+	addrs  []string
+	fronts []string
+	ways   [][]*proxy.Proxy // from, to; nil on the diagonal
+	loads  []*load.Load
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	down    []bool
+	stalled []bool
+	busy    []time.Time // until when what befalls a coordinator's clients is its fault's
+	clean   []Tallies   // at each coordinator, outside its faults
+	mark    []load.Tally
+	orders  map[uint64]string // moves by number, as any coordinator told them
+	Faults  WorkFaults
+}
+
+// Tallies are what became of queries.
+type Tallies struct{ Asked, Served, Lost, Wrong, Refused, Failed int }
+
+// WorkFaults is what must not happen, and how much of it did.
+type WorkFaults struct {
+	SentWhileOut int      // parts that came to a machine between its hand-over and its return
+	FloorBroken  int      // looks at which a shard had fewer replicas outside work than its floor
+	TwoOrders    int      // moves that two coordinators told differently
+	HandedOver   int      // machines that were
+	Said         []string // the first of each
+}
+
+// StartWorks starts them. The caller stops them, also after an error if Works is not nil.
+func StartWorks(ctx context.Context, o WorksOptions) (w *Works, err error) {
+	w = &Works{o: o, Ledger: nodes.NewLedger(), orders: map[uint64]string{}}
+	if w.dir, err = directory.Start(); err != nil {
+		return w, err
+	}
+	if w.folder, err = os.MkdirTemp("", "gullfall-works-"); err != nil {
+		return w, err
+	}
+	var entries []directory.Entry
+	for zi, zone := range []string{"a", "b", "c"} {
+		for i := range o.PerZone {
+			n := &nodes.Node{ID: fmt.Sprintf("%s-%d", zone, i), Cell: (zi + i) % workCells, Proto: "frames", Ledger: w.Ledger, Takes: 5 * time.Millisecond}
+			if err := n.Start(); err != nil {
+				return w, err
+			}
+			w.Nodes = append(w.Nodes, n)
+			n.Started = time.Now().Add(-time.Hour)
+			entries = append(entries, w.entry(n))
+		}
+	}
+	w.dir.Set(entries...)
+	n := o.Coordinators
+	w.Coords, w.down, w.stalled = make([]*Coordinator, n), make([]bool, n), make([]bool, n)
+	w.busy, w.clean, w.mark = make([]time.Time, n), make([]Tallies, n), make([]load.Tally, n)
+	for i := range n {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.8.%d:0", 1+i%250))
+		if err != nil {
+			return w, err
+		}
+		w.addrs = append(w.addrs, ln.Addr().String())
+		ln.Close()
+		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.9.%d:0", 1+i%250)); err != nil {
+			return w, err
+		}
+		w.fronts = append(w.fronts, ln.Addr().String())
+		ln.Close()
+	}
+	for i := range n {
+		w.ways = append(w.ways, make([]*proxy.Proxy, n))
+		for j := range n {
+			if i != j {
+				if w.ways[i][j], err = proxy.Start(w.addrs[j]); err != nil {
+					return w, err
+				}
+			}
+		}
+	}
+	for i := range n {
+		if err := w.Start(ctx, i); err != nil {
+			return w, err
+		}
+	}
+	ctx, w.stop = context.WithCancel(ctx)
+	for i := range n {
+		l := &load.Load{Addr: w.fronts[i], Owner: "club", Rate: o.Rate, Shards: workShards, Classes: Classes, Open: 64, Ledger: w.Ledger, Seed: o.Seed*1000 + uint64(i)}
+		w.loads = append(w.loads, l)
+		w.wg.Go(func() { l.Run(ctx) })
+	}
+	w.wg.Go(func() { w.hands(ctx) })
+	return w, nil
+}
+
+func (w *Works) entry(n *nodes.Node) directory.Entry {
+	e := Entry(n, "SERVING")
+	e.Zone, _, _ = strings.Cut(n.ID, "-")
+	return e
+}
+
+func (w *Works) socket(i int) string { return filepath.Join(w.folder, PeerName(i)) }
+
+// Start starts one coordinator, anew after Kill, with the store that it had.
+func (w *Works) Start(ctx context.Context, i int) (err error) {
+	text := fmt.Sprintf("[log]\nlevel = \"info\"\n[admin]\nsocket = %q\n[work]\nenabled = true\nbound = %q\nlease = %q\nevery = \"50ms\"\nfloor = %d\nshare = %g\nzone_share = 1\n[store]\ndirectory = %q\nlisten = %q\nheartbeat = %q\n",
+		w.socket(i), w.o.Bound, w.o.Lease, w.o.Floor, w.o.Share, filepath.Join(w.folder, "store-"+PeerName(i)), w.addrs[i], w.o.Heartbeat)
+	for j, addr := range w.addrs {
+		text += fmt.Sprintf("[[store.peer]]\nname = %q\naddr = %q\nlearner = %v\n", PeerName(j), addr, j >= w.o.Voters)
+		if j != i {
+			text += fmt.Sprintf("[[store.route]]\naddr = %q\nvia = %q\n", addr, w.ways[i][j].Addr())
+		}
+	}
+	settings := strings.Replace(Settings(workCells, workShards, w.o.Coordinators), `"WarmAfterS":5`, fmt.Sprintf(`"WarmAfterS":%g`, w.o.Warm.Seconds()), 1)
+	config := Config(PeerName(i), w.fronts[i], w.dir.Addr(), w.o.Seed*1000+uint64(i)+1, 64, settings)
+	w.Coords[i], err = Spawn(ctx, w.o.Binary, w.fronts[i], map[string]string{"config.json": config, "deploy/gullfall.toml": text})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down[i], w.stalled[i] = false, false
+	w.busy[i] = time.Now().Add(4 * time.Second)
+	return err
+}
+
+// Up tells whether a coordinator runs and is not stalled.
+func (w *Works) Up(i int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.down[i] && !w.stalled[i]
+}
+
+// touch settles a coordinator's tally up to now, and leaves out what befalls its clients from now on until it is well again.
+func (w *Works) touch(i int, until time.Time) {
+	w.settle(i)
+	w.mu.Lock()
+	w.busy[i] = until
+	w.mu.Unlock()
+}
+
+// settle adds what became of a coordinator's queries since the last time, if no fault of its own lay in between.
+func (w *Works) settle(i int) {
+	if len(w.loads) <= i {
+		return
+	}
+	t := w.loads[i].Sum()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.mark[i]
+	w.mark[i] = t
+	if time.Now().Before(w.busy[i]) || w.down[i] || w.stalled[i] {
+		return
+	}
+	c := &w.clean[i]
+	c.Asked, c.Served, c.Lost, c.Wrong = c.Asked+t.Asked-m.Asked, c.Served+t.Served-m.Served, c.Lost+t.Lost-m.Lost, c.Wrong+t.Wrong-m.Wrong
+	c.Refused, c.Failed = c.Refused+t.Refused-m.Refused, c.Failed+t.Failed-m.Failed
+}
+
+// Clean is what became of the queries of all coordinators outside their own faults.
+func (w *Works) Clean() (sum Tallies) {
+	for i := range w.Coords {
+		w.settle(i)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.clean {
+		sum.Asked, sum.Served, sum.Lost, sum.Wrong = sum.Asked+c.Asked, sum.Served+c.Served, sum.Lost+c.Lost, sum.Wrong+c.Wrong
+		sum.Refused, sum.Failed = sum.Refused+c.Refused, sum.Failed+c.Failed
+	}
+	return sum
+}
+
+// afterFault is how long after a fault its end may still be felt by clients.
+const afterFault = 4 * time.Second
+
+// Stall stops a coordinator by SIGSTOP, or lets it go on.
+func (w *Works) Stall(i int, stall bool) error {
+	w.touch(i, time.Now().Add(afterFault))
+	sig := syscall.SIGCONT
+	if stall {
+		sig = syscall.SIGSTOP
+	}
+	w.mu.Lock()
+	w.stalled[i] = stall
+	w.mu.Unlock()
+	return syscall.Kill(w.Coords[i].Pid(), sig)
+}
+
+// Kill ends a coordinator by SIGKILL.
+func (w *Works) Kill(i int) error {
+	w.touch(i, time.Now().Add(time.Hour))
+	w.mu.Lock()
+	w.down[i] = true
+	w.mu.Unlock()
+	err := w.Coords[i].Kill()
+	w.history(w.Coords[i])
+	return errors.Join(err, w.Coords[i].Discard())
+}
+
+// End ends a coordinator by SIGTERM.
+func (w *Works) End(i int) error {
+	w.touch(i, time.Now().Add(time.Hour))
+	w.mu.Lock()
+	w.down[i] = true
+	w.mu.Unlock()
+	w.history(w.Coords[i])
+	return w.Coords[i].Stop()
+}
+
+// Cut sets what befalls the store's traffic from one coordinator to another, connections that the other opens not included.
+func (w *Works) Cut(from, to int, f proxy.Fault) { w.ways[from][to].Set(f, 20*time.Millisecond) }
+
+// Isolate cuts a coordinator's store from all others, or mends that.
+func (w *Works) Isolate(i int, f proxy.Fault) {
+	for j := range w.Coords {
+		if j != i {
+			w.Cut(i, j, f)
+			w.Cut(j, i, f)
+		}
+	}
+}
+
+// KillNode ends a data node as a crash would; StartNode starts it again, as a new process.
+func (w *Works) KillNode(i int) { w.Nodes[i].Kill() }
+
+// StartNode starts a data node anew, and lists it so.
+func (w *Works) StartNode(i int) error {
+	if err := w.Nodes[i].Start(); err != nil {
+		return err
+	}
+	w.dir.Set(w.entry(w.Nodes[i]))
+	return nil
+}
+
+// Ask asks for work at a coordinator.
+func (w *Works) Ask(ctx context.Context, i int, a steward.Ask) (p steward.Planned, err error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(10*time.Second))
+	defer cancel()
+	return p, admin.Call(ctx, w.socket(i), "work start", a, &p)
+}
+
+// Order gives an operator's word on a request at a coordinator.
+func (w *Works) Order(ctx context.Context, i int, word string, request uint64) error {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(10*time.Second))
+	defer cancel()
+	var id uint64
+	return admin.Call(ctx, w.socket(i), "work order", map[string]any{"By": "lab", "Word": word, "Request": request}, &id)
+}
+
+// Look is the work as a coordinator knows it; asked of the store's leader first where fresh is set.
+func (w *Works) Look(ctx context.Context, i int, fresh bool) (v steward.View, err error) {
+	within := time.Second
+	if fresh {
+		within = 10 * time.Second
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(within))
+	defer cancel()
+	return v, admin.Call(ctx, w.socket(i), "work look", map[string]any{"Fresh": fresh}, &v)
+}
+
+// Holder is who holds the duty, as the first coordinator that answers knows; below 0 for nobody.
+func (w *Works) Holder(ctx context.Context) int {
+	for i := range w.Coords {
+		if !w.Up(i) {
+			continue
+		}
+		v, err := w.Look(ctx, i, false)
+		if err != nil {
+			continue
+		}
+		for _, d := range v.Duties {
+			if n, err := strconv.Atoi(strings.TrimPrefix(d.Holder, "n")); err == nil {
+				return n
+			}
+		}
+	}
+	return -1
+}
+
+// Until waits until a coordinator that answers shows what is wanted.
+func (w *Works) Until(ctx context.Context, what string, end time.Time, met func(steward.View) bool) error {
+	var last string
+	for {
+		for i := range w.Coords {
+			if !w.Up(i) {
+				continue
+			}
+			v, err := w.Look(ctx, i, false)
+			if err != nil {
+				last = err.Error()
+				continue
+			}
+			if met(v) {
+				return nil
+			}
+			if last = ""; v.Plan != nil {
+				for _, r := range v.Plan.Requests {
+					last += fmt.Sprintf("; request %d %s: %s", r.ID, r.State, r.Why)
+				}
+			}
+		}
+		if !time.Now().Before(end) || ctx.Err() != nil {
+			return fmt.Errorf("%s: never%s", what, last)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// hands work on the machines that are handed over: each is left running for a while, so that what is sent to it is seen, and is
+// then started anew.
+func (w *Works) hands(ctx context.Context) {
+	at := map[string]uint64{} // turns that were taken up
+	for ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		for i := range w.Coords {
+			w.settleSometimes(i)
+			if !w.Up(i) {
+				continue
+			}
+			v, err := w.Look(ctx, i, false)
+			if err != nil || v.Plan == nil {
+				continue
+			}
+			w.check(v.Plan)
+			for _, r := range v.Plan.Requests {
+				for _, st := range r.Steps {
+					if st.State == maintenance.Out && at[st.Machine] < st.Turn {
+						at[st.Machine] = st.Turn
+						w.wg.Go(func() { w.work(ctx, st.Machine) })
+					}
+				}
+			}
+		}
+	}
+}
+
+func (w *Works) settleSometimes(i int) {
+	w.mu.Lock()
+	well := !time.Now().Before(w.busy[i])
+	w.mu.Unlock()
+	if !well {
+		w.settle(i) // what befalls its clients until then is left out
+	}
+}
+
+func (w *Works) work(ctx context.Context, machine string) {
+	for i, n := range w.Nodes {
+		if n.ID != machine {
+			continue
+		}
+		before := w.Ledger.Account().Starts[machine]
+		select {
+		case <-time.After(w.o.Work):
+		case <-ctx.Done():
+			return
+		}
+		sent := w.Ledger.Account().Starts[machine] - before
+		w.mu.Lock()
+		w.Faults.HandedOver++
+		if w.Faults.SentWhileOut += sent; sent > 0 {
+			w.Faults.Said = append(w.Faults.Said, fmt.Sprintf("%d parts were sent to %s while it was out", sent, machine))
+		}
+		w.mu.Unlock()
+		n.Kill()
+		if err := w.StartNode(i); err != nil {
+			w.mu.Lock()
+			w.Faults.Said = append(w.Faults.Said, err.Error())
+			w.mu.Unlock()
+		}
+	}
+}
+
+// check looks whether a shard has fewer replicas outside work than its floor.
+func (w *Works) check(plan *maintenance.State) {
+	inWork := map[string]bool{}
+	for _, r := range plan.Requests {
+		for _, st := range r.Steps {
+			if st.State > maintenance.Waiting && st.State < maintenance.Done || st.State == maintenance.Failed {
+				inWork[st.Machine] = true
+			}
+		}
+	}
+	for shard := range workShards {
+		left := 0
+		for _, n := range w.Nodes {
+			if d := (n.Cell - shard%workCells + workCells) % workCells; d < workReach && !inWork[n.ID] {
+				left++
+			}
+		}
+		if left < w.o.Floor {
+			w.mu.Lock()
+			w.Faults.FloorBroken++
+			w.Faults.Said = append(w.Faults.Said, fmt.Sprintf("shard %d has %d replicas outside work, fewer than %d", shard, left, w.o.Floor))
+			w.mu.Unlock()
+		}
+	}
+}
+
+// history takes in the moves that a coordinator has logged, and compares them with those of the others.
+func (w *Works) history(c *Coordinator) {
+	for _, line := range c.Lines(`msg="machine in work" `) {
+		_, rest, _ := strings.Cut(line, " n=")
+		number, rest, _ := strings.Cut(rest, " ")
+		text, _, _ := strings.Cut(rest, " why=")
+		n, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			continue
+		}
+		w.mu.Lock()
+		if old, ok := w.orders[n]; !ok {
+			w.orders[n] = text
+		} else if old != text {
+			w.Faults.TwoOrders++
+			w.Faults.Said = append(w.Faults.Said, fmt.Sprintf("move %d is %q and %q", n, old, text))
+		}
+		w.mu.Unlock()
+	}
+}
+
+// Verdict takes in what all running coordinators have logged and returns what must not have happened.
+func (w *Works) Verdict() WorkFaults {
+	for i, c := range w.Coords {
+		if c != nil && !w.down[i] {
+			w.history(c)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.Faults
+	f.Said = append([]string{}, f.Said[:min(len(f.Said), 20)]...)
+	return f
+}
+
+// Moves is how many moves were told.
+func (w *Works) Moves() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.orders)
+}
+
+// EndLoad lets the clients end.
+func (w *Works) EndLoad() {
+	if w.stop != nil {
+		w.stop()
+		w.wg.Wait()
+		w.stop = nil
+	}
+}
+
+// Stop ends what was started.
+func (w *Works) Stop() (err error) {
+	w.EndLoad()
+	for i, c := range w.Coords {
+		if c != nil && !w.down[i] {
+			err = errors.Join(err, c.Stop())
+		}
+	}
+	for _, row := range w.ways {
+		for _, p := range row {
+			if p != nil {
+				p.Close()
+			}
+		}
+	}
+	for _, n := range w.Nodes {
+		n.Kill()
+	}
+	if w.dir != nil {
+		w.dir.Close()
+	}
+	return errors.Join(err, os.RemoveAll(w.folder))
+}
--- /dev/null
+++ b/internal/lab/fleet/work_test.go
@@ -0,0 +1,132 @@
+package fleet_test
+
+// Five processes of the real program, three votes and two learners of one store, before twelve data nodes in three zones, with
+// clients asking all the time: all machines go out for work while the duty's holder is killed, stalled and cut off. The long
+// loop is `gullfall-lab work`.
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/proxy"
+	"gullfall/internal/maintenance"
+	"gullfall/internal/steward"
+)
+
+func TestMachinesGoOutForWork(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "gullfall")
+	if out, err := exec.Command("go", "build", "-o", binary, "gullfall/cmd/gullfall").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(4*time.Minute))
+	defer cancel()
+	w, err := fleet.StartWorks(ctx, fleet.WorksOptions{Coordinators: 5, Voters: 3, PerZone: 4, Rate: 20, Floor: 3, Share: 0.26, Bound: time.Second,
+		Lease: 2 * time.Second, Warm: time.Second, Heartbeat: 500 * time.Millisecond, Work: 300 * time.Millisecond, Binary: binary, Seed: 1})
+	if w != nil {
+		defer func() {
+			if err := w.Stop(); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	until := func(what string, met func(steward.View) bool) {
+		t.Helper()
+		must(w.Until(ctx, what, time.Now().Add(60*time.Second), met))
+	}
+	until("all are present", func(v steward.View) bool {
+		here := 0
+		for _, c := range v.Coordinators {
+			if c.Present {
+				here++
+			}
+		}
+		return here == 5 && len(v.Duties) == 1 && v.Duties[0].Holder != ""
+	})
+	// Two operators at two coordinators, of which one asks for a machine that is the other's.
+	first := steward.Ask{By: "a", Zone: "a", Takes: 20 * time.Second, Back: 20 * time.Second}
+	p, err := w.Ask(ctx, 4, first)
+	must(err)
+	if _, err := w.Ask(ctx, 1, steward.Ask{By: "b", Machines: []string{"a-0", "b-0"}, Takes: time.Second, Back: time.Second}); err == nil {
+		t.Error("a machine is in two requests")
+	}
+	second, err := w.Ask(ctx, 1, steward.Ask{By: "b", Zone: "b", Takes: 20 * time.Second, Back: 20 * time.Second})
+	must(err)
+	done := func(request uint64) func(steward.View) bool {
+		return func(v steward.View) bool {
+			r := v.Plan.Request(request)
+			return r != nil && r.State == maintenance.Finished
+		}
+	}
+	moved := func(n uint64) func(steward.View) bool { return func(v steward.View) bool { return v.Plan.Moved >= n } }
+	until("moves are made", moved(3))
+
+	holder := w.Holder(ctx)
+	must(w.Kill(holder))
+	until("another takes the duty over", func(v steward.View) bool {
+		return v.Duties[0].Holder != fleet.PeerName(holder) && v.Duties[0].Token > 1
+	})
+	must(w.Start(ctx, holder))
+
+	stalled := w.Holder(ctx)
+	must(w.Stall(stalled, true))
+	time.Sleep(3 * time.Second)
+	must(w.Stall(stalled, false)) // it wakes with moves in mind
+	until("the first request is done", done(p.Request))
+
+	cut := w.Holder(ctx)
+	w.Isolate(cut, proxy.Drop)
+	time.Sleep(2500 * time.Millisecond)
+	w.Isolate(cut, proxy.Pass)
+	until("the second request is done", done(second.Request))
+
+	// While a coordinator is cut off, what it has not seen yet waits for it.
+	w.Isolate(4, proxy.Cut)
+	third, err := w.Ask(ctx, w.Holder(ctx), steward.Ask{By: "c", Machines: []string{"c-0"}, Takes: 20 * time.Second, Back: 20 * time.Second})
+	must(err)
+	time.Sleep(4 * time.Second)
+	v, err := w.Look(ctx, w.Holder(ctx), false)
+	must(err)
+	if r := v.Plan.Request(third.Request); r.Steps[0].State != maintenance.Waiting {
+		t.Errorf("c-0 is %v while n4 has not seen the request", r.Steps[0].State)
+	}
+	w.Isolate(4, proxy.Pass)
+	until("it goes on once that has heard", done(third.Request))
+
+	// All are started anew in the middle of a plan.
+	fourth, err := w.Ask(ctx, 0, steward.Ask{By: "d", Zone: "c", Takes: 20 * time.Second, Back: 20 * time.Second})
+	must(err)
+	until("moves are made", moved(v.Plan.Moved+8))
+	for i := range 5 {
+		must(w.Kill(i))
+	}
+	for i := range 5 {
+		must(w.Start(ctx, i))
+	}
+	until("the fourth request is done", done(fourth.Request))
+
+	w.EndLoad()
+	f, clean := w.Verdict(), w.Clean()
+	if f.SentWhileOut+f.FloorBroken+f.TwoOrders > 0 || len(f.Said) > 0 || f.HandedOver < 13 {
+		t.Errorf("%+v", f)
+	}
+	if clean.Lost+clean.Wrong > 0 || clean.Asked == 0 {
+		t.Errorf("clients: %+v", clean)
+	}
+	if a := w.Ledger.Account(); a.Twins > 0 || a.MostAttempts > 3 {
+		t.Errorf("%d twins, %d attempts of a part", a.Twins, a.MostAttempts)
+	}
+	t.Logf("%d machines handed over, %d moves, %+v", f.HandedOver, w.Moves(), clean)
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -86,7 +86,8 @@
 // Kept is a grant as the table's snapshots hold it.
 type Kept struct {
 	Grant
-	Until time.Duration // by the clock of the leader that holds the table
+	Until  time.Duration // by the clock of the leader that holds the table
+	Length time.Duration // of its leases, as its holder asked
 }
 
 // NewTable returns a table in which every duty is free.
@@ -97,7 +98,7 @@
 func (t *Table) duty(name string) *Kept {
 	d := t.duties[name]
 	if d == nil {
-		d = &Kept{Grant: Grant{Duty: name}}
+		d = &Kept{Grant: Grant{Duty: name}, Length: t.c.Length}
 		t.duties[name] = d
 	}
 	return d
@@ -105,11 +106,17 @@
 
 // Campaign grants a duty that is free, or whose lease is over. The holder itself gets a new term.
 func (t *Table) Campaign(now time.Duration, duty, who string) (Grant, error) {
+	return t.CampaignFor(now, duty, who, t.c.Length)
+}
+
+// CampaignFor is Campaign with a length of the holder's own, which goes with the request: so all copies of a table hold a lease
+// alike, whatever figures their members were started with.
+func (t *Table) CampaignFor(now time.Duration, duty, who string, length time.Duration) (Grant, error) {
 	d := t.duty(duty)
 	if d.Holder != "" && d.Holder != who && now < d.Until {
 		return d.Grant, fmt.Errorf("%w: %s, in term %d", ErrHeld, d.Holder, d.Term)
 	}
-	d.Holder, d.Term, d.Token, d.Until = who, d.Term+1, d.Token+1, now+t.c.Length
+	d.Holder, d.Term, d.Token, d.Until, d.Length = who, d.Term+1, d.Token+1, now+length, length
 	return d.Grant, nil
 }
 
@@ -119,7 +126,7 @@
 	if d.Holder != who || d.Term != term {
 		return d.Grant, ErrTerm
 	}
-	d.Until = now + t.c.Length
+	d.Until = now + d.Length
 	return d.Grant, nil
 }
 
@@ -137,7 +144,7 @@
 func (t *Table) Led(now time.Duration) {
 	for _, d := range t.duties {
 		if d.Holder != "" {
-			d.Until = now + t.c.Length
+			d.Until = now + d.Length
 		}
 	}
 }
--- /dev/null
+++ b/internal/maintenance/fleet.go
@@ -0,0 +1,190 @@
+package maintenance
+
+// This file owns the limits: what may be out of the fleet at once, and why not more. It must never count a data node that is
+// cold, doubtful or in a zone that fails as one that holds a shard up.
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Layout says which cells hold a shard: s, s+1, ... s+Reach-1, modulo Cells.
+type Layout struct{ Cells, Shards, Reach int }
+
+// Machine is a data node as one coordinator sees it.
+type Machine struct {
+	ID, Addr, Zone string
+	Cell           int
+	Weight         float64
+	Serving        bool    // listed as such
+	Sound          bool    // serving, warm, not doubtful, its zone does not fail
+	Util           float64 // how busy it is, 0 to 1; 0 where not known
+	Started        int64   // of its process, Unix milliseconds; 0 where not known
+}
+
+// Limits are hard: no order and no move breaks one.
+type Limits struct {
+	Floor     int     // sound replicas outside work that each shard keeps; 1 at least
+	PerShard  int     // replicas of one shard in work at once; 0 for no limit
+	AtOnce    int     // machines in work at once; 0 for no limit
+	Share     float64 // of the fleet's weight that may be missing, for work or otherwise; 0 for no limit
+	ZoneShare float64 // of one zone's weight; 0 for no limit
+	Room      float64 // how busy what remains may be; 0 for no limit
+}
+
+// Check names the first figure that can't be kept.
+func (l Limits) Check() error {
+	if l.Floor < 1 || l.PerShard < 0 || l.AtOnce < 0 || !(l.Share >= 0 && l.Share < 1) || !(l.ZoneShare >= 0 && l.ZoneShare <= 1) || !(l.Room >= 0 && l.Room <= 1) {
+		return fmt.Errorf("maintenance: %+v: Floor is 1 at least, no figure is negative, shares are 1 at most", l)
+	}
+	return nil
+}
+
+// Fleet is all machines at one moment. It does not change.
+type Fleet struct {
+	Layout
+	Machines []Machine
+	byID     map[string]*Machine
+	held     [][]int // shards by cell
+	sound    []int   // sound replicas by shard
+	total    float64 // weight
+	missing  float64 // weight that is not sound
+	zones    map[string]*weights
+	busy     float64 // weight times utilisation
+}
+
+type weights struct{ total, missing float64 }
+
+// NewFleet indexes machines; memory and time are linear in them and in the shards times the reach.
+func NewFleet(lay Layout, machines []Machine) (*Fleet, error) {
+	if lay.Cells < 1 || lay.Shards < 1 || lay.Reach < 1 || lay.Reach > lay.Cells {
+		return nil, fmt.Errorf("maintenance: %d cells, %d shards, reach %d: each is 1 at least, the reach no more than the cells", lay.Cells, lay.Shards, lay.Reach)
+	}
+	f := &Fleet{Layout: lay, Machines: machines, byID: map[string]*Machine{}, held: make([][]int, lay.Cells), sound: make([]int, lay.Shards),
+		zones: map[string]*weights{}}
+	for s := range lay.Shards {
+		for i := range lay.Reach {
+			cell := (s + i) % lay.Cells
+			f.held[cell] = append(f.held[cell], s)
+		}
+	}
+	for i := range machines {
+		m := &machines[i]
+		if m.Cell < 0 || m.Cell >= lay.Cells {
+			return nil, fmt.Errorf("maintenance: machine %s is of cell %d; there are %d", m.ID, m.Cell, lay.Cells)
+		}
+		f.byID[m.ID] = m
+		z := f.zones[m.Zone]
+		if z == nil {
+			z = &weights{}
+			f.zones[m.Zone] = z
+		}
+		f.total += m.Weight
+		z.total += m.Weight
+		if !m.Sound {
+			f.missing += m.Weight
+			z.missing += m.Weight
+			continue
+		}
+		f.busy += m.Weight * m.Util
+		for _, s := range f.held[m.Cell] {
+			f.sound[s]++
+		}
+	}
+	return f, nil
+}
+
+// Machine finds one; nil for none.
+func (f *Fleet) Machine(id string) *Machine { return f.byID[id] }
+
+// out is a set of machines that are out, and what that leaves.
+type out struct {
+	f       *Fleet
+	l       Limits
+	n       int
+	missing float64 // weight beyond what is not sound anyway
+	zones   map[string]float64
+	inWork  map[int]int // machines by shard
+	sound   map[int]int // of them, those that were sound
+}
+
+func (f *Fleet) none(l Limits) *out {
+	return &out{f: f, l: l, zones: map[string]float64{}, inWork: map[int]int{}, sound: map[int]int{}}
+}
+
+// slack is what rounding of weights may miss.
+const slack = 1e-9
+
+// fits tells why a machine can't be out beside those that are; empty where it can. It is monotone: what does not fit
+// beside a set does not fit beside a larger one.
+func (o *out) fits(m *Machine) string {
+	if o.l.AtOnce > 0 && o.n >= o.l.AtOnce {
+		return fmt.Sprintf("%d machines are in work, as many as may be at once", o.n)
+	}
+	for _, s := range o.f.held[m.Cell] {
+		if m.Sound && o.f.sound[s]-o.sound[s] <= o.l.Floor {
+			return fmt.Sprintf("shard %d has %d sound replicas and keeps %d", s, o.f.sound[s]-o.sound[s], o.l.Floor)
+		}
+		if o.l.PerShard > 0 && o.inWork[s] >= o.l.PerShard {
+			return fmt.Sprintf("shard %d has %d replicas in work, as many as may be at once", s, o.inWork[s])
+		}
+	}
+	if !m.Sound {
+		return ""
+	}
+	if gone := o.f.missing + o.missing + m.Weight; o.l.Share > 0 && gone > o.l.Share*o.f.total+slack {
+		return fmt.Sprintf("%.3g of the fleet's weight of %.3g would be missing; %.0f%% may be", gone, o.f.total, 100*o.l.Share)
+	}
+	if z := o.f.zones[m.Zone]; o.l.ZoneShare > 0 && z.missing+o.zones[m.Zone]+m.Weight > o.l.ZoneShare*z.total+slack {
+		return fmt.Sprintf("%.3g of zone %q's weight of %.3g would be missing; %.0f%% may be", z.missing+o.zones[m.Zone]+m.Weight, m.Zone, z.total, 100*o.l.ZoneShare)
+	}
+	if left := o.f.total - o.f.missing - o.missing - m.Weight; o.l.Room > 0 && o.f.busy > o.l.Room*left+slack {
+		return fmt.Sprintf("what remains would be %.0f%% busy; %.0f%% may be", 100*o.f.busy/max(left, slack), 100*o.l.Room)
+	}
+	return ""
+}
+
+// put adds a machine, or takes it back.
+func (o *out) put(m *Machine, by int) {
+	o.n += by
+	for _, s := range o.f.held[m.Cell] {
+		o.inWork[s] += by
+		if m.Sound {
+			o.sound[s] += by
+		}
+	}
+	if m.Sound {
+		o.missing += float64(by) * m.Weight
+		o.zones[m.Zone] += float64(by) * m.Weight
+	}
+}
+
+// Under lists the shards that have fewer sound replicas outside a set than the floor.
+func (f *Fleet) Under(l Limits, ids []string) (shards []int) {
+	o := f.none(l)
+	for _, id := range ids {
+		if m := f.byID[id]; m != nil {
+			o.put(m, 1)
+		}
+	}
+	for s := range f.sound {
+		if f.sound[s]-o.sound[s] < l.Floor {
+			shards = append(shards, s)
+		}
+	}
+	return shards
+}
+
+// Hours are barred for moves, each day, by the clock of the coordinator that moves.
+type Hours struct{ From, To time.Duration } // since midnight; over midnight where To is before From
+
+func barred(hours []Hours, wall time.Time) bool {
+	at := time.Duration(wall.Hour())*time.Hour + time.Duration(wall.Minute())*time.Minute
+	return slices.ContainsFunc(hours, func(h Hours) bool {
+		if h.From <= h.To {
+			return at >= h.From && at < h.To
+		}
+		return at >= h.From || at < h.To
+	})
+}
--- /dev/null
+++ b/internal/maintenance/step.go
@@ -0,0 +1,271 @@
+package maintenance
+
+// This file owns the moves: what the holder of the duty may do next, by what it sees. It must never make two machines go on
+// one look at the limits without counting the first.
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Duty is the name of the duty whose holder makes moves.
+const Duty = "maintenance"
+
+// Coordinator is what one that was ever present has said.
+type Coordinator struct {
+	Name  string
+	Seen  uint64            // State.Seen of what it has applied
+	Clear map[string]uint64 // machines with nothing out, by the turn of their drain
+	Over  bool              // its presence is over, as far as is known; the store decides as the move is taken
+}
+
+// View is what the holder sees.
+type View struct {
+	Now          time.Duration // its own clock, which does not jump
+	Wall         time.Time     // for hours and dates alone
+	Fleet        *Fleet
+	Limits       Limits
+	Warm         time.Duration // that a cold data node needs
+	Coordinators []Coordinator
+	Told         map[string]uint64 // warm machines of which the hook was told, by their turn; nil where there is no hook
+}
+
+// Timer is how long the holder has seen steps in their state, by its own clock. A new holder begins anew, so a machine may be
+// out for longer than its request says by as long as the holder before had it.
+type Timer struct {
+	since map[string]mark
+	notes map[uint64]time.Duration
+}
+
+type mark struct {
+	turn  uint64
+	state StepState
+	at    time.Duration
+}
+
+// noteEvery bounds how often the reason why a request does not move is written anew.
+const noteEvery = time.Second
+
+// look notes the state of each step, and forgets what is over.
+func (t *Timer) look(now time.Duration, s *State) {
+	seen := map[string]mark{}
+	for _, r := range s.Requests {
+		for _, st := range r.Steps {
+			if !st.State.inWork() {
+				continue
+			}
+			m := mark{st.Turn, st.State, now}
+			if old, ok := t.since[st.Machine]; ok && old.turn == m.turn && old.state == m.state {
+				m = old
+			}
+			seen[st.Machine] = m
+		}
+	}
+	t.since = seen
+	if t.notes == nil {
+		t.notes = map[uint64]time.Duration{}
+	}
+}
+
+func (t *Timer) held(now time.Duration, machine string) time.Duration {
+	return now - t.since[machine].at
+}
+
+// Step decides the next moves and makes them in the state. Changed tells whether anything is to be written. Lapsed are
+// coordinators whose presence the store has to hold for over, or none of it counts.
+func (s *State) Step(v *View, t *Timer) (moves []Move, changed bool) {
+	t.look(v.Now, s)
+	o := v.Fleet.none(v.Limits)
+	for _, r := range s.Requests {
+		for _, st := range r.Steps {
+			if m := v.Fleet.Machine(st.Machine); m != nil && st.State.inWork() {
+				o.put(m, 1)
+			}
+		}
+	}
+	move := func(r *Request, m Move) bool {
+		m.Request = r.ID
+		if s.Apply(m) != nil {
+			return false
+		}
+		moves = append(moves, m)
+		return true
+	}
+	for _, r := range s.Requests {
+		for _, st := range r.Steps {
+			s.back(v, t, o, r, st, move)
+		}
+	}
+	why := map[uint64]string{}
+	for _, r := range s.Requests {
+		why[r.ID] = s.forth(v, o, r, move)
+	}
+	changed = len(moves) > 0
+	for _, r := range s.Requests {
+		if r.State != Open || r.Why == why[r.ID] {
+			continue
+		}
+		if at, ok := t.notes[r.ID]; ok && v.Now-at < noteEvery {
+			continue
+		}
+		t.notes[r.ID] = v.Now
+		r.Why, changed = why[r.ID], true
+	}
+	return moves, changed
+}
+
+// back makes the moves of a machine that is out or comes back.
+func (s *State) back(v *View, t *Timer, o *out, r *Request, st *Step, move func(*Request, Move) bool) {
+	id := st.Machine
+	if st.As != "" {
+		id = st.As
+	}
+	m := v.Fleet.Machine(id)
+	held := t.held(v.Now, st.Machine)
+	switch st.State {
+	case Out:
+		if as, ok := s.restarted(v, r, st); ok {
+			move(r, Move{Machine: st.Machine, To: Returning, Why: "it is listed with a later start", As: as})
+		} else if held > r.Takes {
+			move(r, Move{Machine: st.Machine, To: Failed, Why: fmt.Sprintf("it was out for longer than %v", r.Takes)})
+		}
+	case Returning:
+		switch {
+		case m != nil && m.Sound && held >= v.Warm:
+			move(r, Move{Machine: st.Machine, To: Warm, Why: "it serves and has had its time to warm up"})
+		case held > r.Back+v.Warm:
+			move(r, Move{Machine: st.Machine, To: Failed, Why: fmt.Sprintf("it does not serve %v after its return", held.Round(time.Second))})
+		}
+	case Warm:
+		if v.Told == nil || v.Told[st.Machine] == st.Turn {
+			if move(r, Move{Machine: st.Machine, To: Done}); v.Fleet.Machine(st.Machine) != nil {
+				o.put(v.Fleet.Machine(st.Machine), -1)
+			}
+		}
+	}
+}
+
+// restarted tells whether a machine that is out is listed as a new process: under its id with a later start, or under an id
+// that is not of a step itself at its address.
+func (s *State) restarted(v *View, r *Request, st *Step) (as string, ok bool) {
+	if r.ByHand || st.Started == 0 {
+		return "", false
+	}
+	for i := range v.Fleet.Machines {
+		m := &v.Fleet.Machines[i]
+		if !m.Serving || m.Started <= st.Started {
+			continue
+		}
+		if m.ID == st.Machine {
+			return "", true
+		}
+		if m.Addr == st.Addr && st.Addr != "" {
+			if _, other := s.find(m.ID); other == nil {
+				return m.ID, true
+			}
+		}
+	}
+	return "", false
+}
+
+// forth makes the moves towards work, and tells why a request does not move.
+func (s *State) forth(v *View, o *out, r *Request, move func(*Request, Move) bool) (why string) {
+	paused := r.State != Open
+	// What is begun and not handed over: on, or back where it may not go on.
+	for _, st := range r.Steps {
+		if st.State != Draining && st.State != Drained {
+			continue
+		}
+		m := v.Fleet.Machine(st.Machine)
+		hold := ""
+		switch {
+		case paused:
+			hold = "the request is " + string(r.State)
+		case m != nil:
+			// The limits are asked with it out: as if it were put there just now.
+			o.put(m, -1)
+			if hold = o.fits(m); hold == "" {
+				o.put(m, 1)
+			}
+		}
+		if hold != "" {
+			move(r, Move{Machine: st.Machine, To: Waiting, Why: "taken back: " + hold})
+			why = hold
+			continue
+		}
+		if st.State == Draining {
+			waits, lapsed := drained(v, r, st)
+			if waits != "" {
+				why = waits
+				continue
+			}
+			move(r, Move{Machine: st.Machine, To: Drained, Why: "nothing is out there", Lapsed: lapsed})
+			continue // handed over at the next look, by what is known then
+		}
+		move(r, Move{Machine: st.Machine, To: Out})
+	}
+	switch {
+	case paused:
+		return why
+	case v.Wall.Unix() < r.NotBefore:
+		return "not before " + time.Unix(r.NotBefore, 0).UTC().Format(time.RFC3339)
+	case barred(r.Barred, v.Wall):
+		return "these hours are barred"
+	}
+	var blind []string
+	for _, c := range v.Coordinators {
+		if c.Seen < r.ID {
+			blind = append(blind, c.Name)
+		}
+	}
+	if len(blind) > 0 {
+		return "not seen yet by " + strings.Join(blind, ", ") + "; one that is gone for good is to be forgotten"
+	}
+	ours := 0
+	for _, st := range r.Steps {
+		if st.State.inWork() && st.State != Failed {
+			ours++
+		}
+	}
+	for _, st := range r.Steps {
+		if st.State != Waiting {
+			continue
+		}
+		if r.AtOnce > 0 && ours >= r.AtOnce {
+			break
+		}
+		m := v.Fleet.Machine(st.Machine)
+		if m == nil {
+			why = fmt.Sprintf("%s is not listed", st.Machine)
+			continue
+		}
+		if hold := o.fits(m); hold != "" {
+			if why == "" {
+				why = st.Machine + ": " + hold
+			}
+			continue
+		}
+		if move(r, Move{Machine: st.Machine, To: Draining, Addr: m.Addr, Started: m.Started}) {
+			o.put(m, 1)
+			ours++
+		}
+	}
+	return why
+}
+
+// drained tells whom a drain waits for, or whose presence has to be over for it.
+func drained(v *View, r *Request, st *Step) (waits string, lapsed []string) {
+	for _, c := range v.Coordinators {
+		switch {
+		case c.Clear[st.Machine] == st.Turn:
+		case c.Over && c.Seen >= r.ID:
+			lapsed = append(lapsed, c.Name)
+		default:
+			return fmt.Sprintf("%s: %s has not said that nothing is out there", st.Machine, c.Name), nil
+		}
+	}
+	slices.Sort(lapsed)
+	return "", lapsed
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -63,7 +63,8 @@
 	Duty     string
 	Presence bool // Duty is a coordinator's name, and the lease its presence
 	Who      string
-	Term     uint64 `json:",omitempty"`
+	Term     uint64        `json:",omitempty"`
+	Length   time.Duration `json:",omitempty"` // Campaign: of the lease, as its holder counts it
 }
 
 // What is asked.
@@ -98,8 +99,8 @@
 			return fmt.Errorf("key %.40q of %d bytes, value of %d: a key has 1 to 256 bytes, a value %d at most", p.Key, len(p.Key), len(p.Value), MostValue)
 		}
 	}
-	if l := c.Lease; l != nil && (l.Duty == "" || l.What < Campaign || l.What > Forget || l.What == Forget && !l.Presence) {
-		return fmt.Errorf("lease of duty %q, step %d: not known", l.Duty, l.What)
+	if l := c.Lease; l != nil && (l.Duty == "" || l.What < Campaign || l.What > Forget || l.What == Forget && !l.Presence || l.What == Campaign && l.Length <= 0) {
+		return fmt.Errorf("lease of duty %q, step %d, length %v: not known, or without a length", l.Duty, l.What, l.Length)
 	}
 	return nil
 }
@@ -155,13 +156,12 @@
 	writers  map[string]*writer
 }
 
-// New returns an empty state; the two kinds of lease have figures of their own, the same at every member.
-func New(duties, presence lease.Config) (*State, error) {
+// New returns an empty state. How long a lease runs goes with its request.
+func New() *State {
 	s := &State{values: map[string]Entry{}, writers: map[string]*writer{}}
-	var err, err2 error
-	s.duties, err = lease.NewTable(duties)
-	s.presence, err2 = lease.NewTable(presence)
-	return s, errors.Join(err, err2)
+	s.duties, _ = lease.NewTable(lease.Config{}) // the defaults hold
+	s.presence, _ = lease.NewTable(lease.Config{})
+	return s
 }
 
 // Index is that of the last command applied.
@@ -179,8 +179,8 @@
 // Duties lists the grants of duties.
 func (s *State) Duties() []lease.Grant { return s.duties.Grants() }
 
-// Present lists the presences that were ever granted and not forgotten.
-func (s *State) Present() []lease.Grant { return s.presence.Grants() }
+// Present lists the presences that were ever granted and not forgotten, and until when they run by the leader's clock.
+func (s *State) Present() []lease.Kept { return s.presence.Snapshot() }
 
 // Apply does a command as the log's index-th, logged in a term. It tells which keys changed.
 func (s *State) Apply(index, term uint64, c *Command) (r Result, changed []string) {
@@ -290,7 +290,7 @@
 	var err error
 	switch op.What {
 	case Campaign:
-		r.Grant, err = table.Campaign(now, op.Duty, op.Who)
+		r.Grant, err = table.CampaignFor(now, op.Duty, op.Who, op.Length)
 	case Renew:
 		r.Grant, err = table.Renew(now, op.Duty, op.Who, op.Term)
 	case Resign:
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,20 +7,10 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
-
-	"gullfall/internal/lease"
 )
 
 const s = time.Second
 
-func fresh(t interface{ Fatal(...any) }) *State {
-	st, err := New(lease.Config{Length: 10 * s}, lease.Config{Length: 4 * s})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return st
-}
-
 func put(key, value string) []Pair { return []Pair{{key, []byte(value)}} }
 
 // TestCommand: each row of the package's table, after one command at index 1 in term 1 that put a=1 and had granted n0 the
@@ -51,11 +41,11 @@
 		{"removed", 9, 1, Command{LedTerm: 1, Put: []Pair{{"a", nil}}}, "", ""},
 		{"the first form", 9, 5, Command{Key: "a", Value: []byte("2")}, "", "2"},
 	} {
-		st := fresh(t)
+		st := New()
 		for i, first := range []Command{
 			{ID: ID{"w", 1}, LedTerm: 1, Put: put("a", "1")},
-			{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "d", Who: "n0"}},
-			{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "n0", Presence: true, Who: "n0"}},
+			{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "d", Who: "n0", Length: 10 * s}},
+			{LedTerm: 1, Lease: &LeaseOp{What: Campaign, Duty: "n0", Presence: true, Who: "n0", Length: 4 * s}},
 		} {
 			if r, _ := st.Apply(uint64(i+1), 1, &first); r.Failed != "" {
 				t.Fatal(r.Err())
@@ -71,7 +61,7 @@
 
 // TestNumbersForgotten: a number that is long past is turned back, not applied anew, and writers stay bounded.
 func TestNumbersForgotten(t *testing.T) {
-	st := fresh(t)
+	st := New()
 	for i := uint64(1); i <= 200; i++ {
 		st.Apply(i, 1, &Command{ID: ID{"w", i}, LedTerm: 1, Put: put("a", fmt.Sprint(i))})
 	}
@@ -94,7 +84,7 @@
 // same results; a command that is applied again changes nothing.
 func TestSnapshotAnywhere(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := fresh(t), fresh(t)
+		a, b := New(), New()
 		var clock time.Duration
 		term := uint64(1)
 		var given []Command
@@ -114,7 +104,7 @@
 					c.Put = put(name("k", 3), fmt.Sprint(i))
 					c.If = []Cond{{Key: c.Put[0].Key, Revision: a.values[c.Put[0].Key].Revision}, {Lapsed: name("n", 2)}}[:rapid.IntRange(0, 2).Draw(t, "conds")]
 				case 1:
-					c.Lease = &LeaseOp{What: Campaign, Duty: name("d", 1), Who: name("n", 2), Presence: rapid.Bool().Draw(t, "presence")}
+					c.Lease = &LeaseOp{What: Campaign, Duty: name("d", 1), Who: name("n", 2), Presence: rapid.Bool().Draw(t, "presence"), Length: 4 * s}
 				case 2:
 					c.Lease = &LeaseOp{What: Renew, Duty: name("d", 1), Who: name("n", 2), Term: uint64(rapid.IntRange(1, 3).Draw(t, "term"))}
 				}
@@ -131,7 +121,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				b = fresh(t)
+				b = New()
 				if err := b.Restore(data); err != nil {
 					t.Fatal(err)
 				}
@@ -147,7 +137,7 @@
 
 // TestRestoreForms: the first form of a snapshot is taken, a later version is turned back with what to do.
 func TestRestoreForms(t *testing.T) {
-	st := fresh(t)
+	st := New()
 	if err := st.Restore([]byte(`{"members":"bGlzdA=="}`)); err != nil || string(st.values["members"].Value) != "list" {
 		t.Errorf("the first form: %v, %q", err, st.values["members"].Value)
 	}
@@ -161,7 +151,7 @@
 func BenchmarkApply(b *testing.B) {
 	for _, keys := range []int{100, 10_000} {
 		b.Run(fmt.Sprint(keys), func(b *testing.B) {
-			st := fresh(b)
+			st := New()
 			for i := range b.N {
 				c := Command{ID: ID{fmt.Sprint("w", i%8), uint64(i)}, LedTerm: 1, If: []Cond{{Lapsed: "n9"}}, Put: put(fmt.Sprint("k", i%keys), "value")}
 				st.Apply(uint64(i+1), 1, &c)
--- /dev/null
+++ b/internal/steward/operators.go
@@ -0,0 +1,180 @@
+package steward
+
+// This file owns what operators ask of the work on machines, and what they are shown. It must never change a plan but by
+// compare-and-set.
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"gullfall/internal/lease"
+	"gullfall/internal/maintenance"
+	"gullfall/internal/replica"
+	"gullfall/internal/store"
+)
+
+// Ask is a request as an operator gives it.
+type Ask struct {
+	By            string
+	Machines      []string
+	Zone          string // all of it
+	StartedBefore int64  // Unix milliseconds: all processes older, so all of an older release
+	All           bool
+	Takes, Back   time.Duration
+	NotBefore     int64
+	DoneBy        int64
+	AtOnce        int
+	Barred        []maintenance.Hours
+	GoOn, ByHand  bool
+	DryRun        bool
+}
+
+// Planned is the answer to an Ask.
+type Planned struct {
+	Request uint64 // 0 for a dry run
+	Plan    maintenance.Plan
+	Ends    int64 // Unix seconds, wave by wave; it may be sooner
+	Step    time.Duration
+}
+
+// Start plans a request, and takes it in unless it is a dry run.
+func (s *Steward) Start(ctx context.Context, a Ask) (p Planned, err error) {
+	fleet, err := s.fleet()
+	if err != nil {
+		return p, err
+	}
+	machines := slices.Clone(a.Machines)
+	for i := range fleet.Machines {
+		m := &fleet.Machines[i]
+		if a.All || a.Zone != "" && m.Zone == a.Zone || a.StartedBefore > 0 && m.Started > 0 && m.Started < a.StartedBefore {
+			if !slices.Contains(machines, m.ID) {
+				machines = append(machines, m.ID)
+			}
+		}
+	}
+	if len(machines) == 0 {
+		return p, fmt.Errorf("no machine is named, and none is listed in zone %q or was started before %d", a.Zone, a.StartedBefore)
+	}
+	slices.Sort(machines)
+	req := maintenance.Request{By: a.By, Takes: a.Takes, Back: a.Back, NotBefore: a.NotBefore, DoneBy: a.DoneBy, AtOnce: a.AtOnce, Barred: a.Barred,
+		GoOn: a.GoOn, ByHand: a.ByHand}
+	take := func(plan *maintenance.State) error {
+		r, order, err := plan.Start(time.Now(), req, machines, fleet, s.Limits, s.Warm)
+		p.Plan, p.Step = order, a.Takes+s.Warm
+		if err != nil {
+			return err
+		}
+		p.Ends = max(time.Now().Unix(), a.NotBefore) + int64(time.Duration(len(order.Waves))*p.Step/time.Second)
+		if !a.DryRun {
+			p.Request = r.ID
+			plan.Say(time.Now(), a.By, fmt.Sprintf("start %d: %d machines in %d waves", r.ID, len(r.Steps), r.Waves))
+		}
+		return nil
+	}
+	if a.DryRun {
+		plan, _, err := s.plan()
+		if err != nil {
+			return p, err
+		}
+		return p, take(plan)
+	}
+	return p, s.edit(ctx, take)
+}
+
+// Order is an operator's word on a request: maintenance.Pause, Resume or Abandon.
+func (s *Steward) Order(ctx context.Context, by, word string, request uint64) error {
+	return s.edit(ctx, func(plan *maintenance.State) error {
+		if err := plan.Order(word, request); err != nil {
+			return err
+		}
+		plan.Say(time.Now(), by, fmt.Sprintf("%s %d", word, request))
+		return nil
+	})
+}
+
+// Done is the word that a machine's work is done.
+func (s *Steward) Done(ctx context.Context, by, machine, as string) error {
+	return s.edit(ctx, func(plan *maintenance.State) error {
+		if err := plan.WorkDone(machine, as); err != nil {
+			return err
+		}
+		plan.Say(time.Now(), by, fmt.Sprintf("done %s %s", machine, as))
+		return nil
+	})
+}
+
+// Forget is the word that a coordinator is gone for good: nothing waits for it any more. One that is present is not forgotten.
+func (s *Steward) Forget(ctx context.Context, by, name string) error {
+	known := false
+	s.Store.Look(func(st *replica.State) { _, known = st.Get(recordKey + name) })
+	if !known {
+		return fmt.Errorf("no coordinator %q takes part", name)
+	}
+	r, err := s.Store.Do(ctx, replica.Command{Lease: &replica.LeaseOp{What: replica.Forget, Presence: true, Duty: name, Who: s.Name},
+		Put: []replica.Pair{{Key: recordKey + name}}})
+	if err != nil {
+		return err
+	}
+	if r.Failed != "" {
+		return fmt.Errorf("%q is present, or was until just now; only one that has ended is gone for good", name)
+	}
+	return s.edit(ctx, func(plan *maintenance.State) error {
+		plan.Say(time.Now(), by, "forget "+name)
+		return nil
+	})
+}
+
+// View is what operators are shown.
+type View struct {
+	Self         string
+	Plan         *maintenance.State
+	Coordinators []CoordinatorView
+	Duties       []DutyView
+	Store        store.Status
+}
+
+// CoordinatorView is one that takes part.
+type CoordinatorView struct {
+	Name    string
+	Seen    uint64
+	Clear   map[string]uint64
+	Present bool // as far as is known here
+}
+
+// DutyView is a duty and who holds it.
+type DutyView struct {
+	lease.Grant
+	LeaseS float64
+}
+
+// Look is the work as it is known here; by now, or as of the store at the call where fresh is set.
+func (s *Steward) Look(ctx context.Context, fresh bool) (v View, err error) {
+	if fresh {
+		if err := s.Store.Sync(ctx); err != nil {
+			return v, fmt.Errorf("the store was not heard in time; --stale shows what is known here: %w", err)
+		}
+	}
+	v.Self, v.Store = s.Name, s.Store.Status()
+	if v.Plan, _, err = s.plan(); err != nil {
+		return v, err
+	}
+	for _, c := range s.coordinators() {
+		v.Coordinators = append(v.Coordinators, CoordinatorView{c.Name, c.Seen, c.Clear, !c.Over})
+	}
+	s.Store.Look(func(st *replica.State) {
+		for _, g := range st.Duties() {
+			v.Duties = append(v.Duties, DutyView{Grant: g, LeaseS: s.Options.Duty.Seconds()})
+		}
+	})
+	return v, nil
+}
+
+// HandOn has this coordinator give the duty back, if it holds it, and stand back for one lease.
+func (s *Steward) HandOn(ctx context.Context) error {
+	if _, ok := s.duty.MayAct(); !ok {
+		return fmt.Errorf("%s does not hold the duty", s.Name)
+	}
+	return s.duty.StandBack(ctx)
+}
--- /dev/null
+++ b/internal/steward/steward.go
@@ -0,0 +1,427 @@
+// Package steward does one coordinator's part in taking machines out for work: it follows the plan in the coordinators' store,
+// tells core what may not be sent to, says in the store what it has seen and where nothing is out any more, and makes the moves
+// while it holds the duty. The decisions are internal/maintenance's; what is settled is internal/replica's. It owns its record
+// in the store, its two leases and the hook's processes. It must never say that a machine is clear before core says so, nor
+// make a move without the duty's token.
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gullfall/internal/core"
+	"gullfall/internal/lease"
+	"gullfall/internal/maintenance"
+	"gullfall/internal/replica"
+	"gullfall/internal/store"
+)
+
+// The keys in the store.
+const (
+	planKey   = "work/plan"
+	recordKey = "work/coordinator/" // and the coordinator's name
+)
+
+// Options are set before Start.
+type Options struct {
+	Store  *store.Store
+	Core   *core.Core
+	Name   string
+	Log    *slog.Logger
+	Layout maintenance.Layout
+	Limits maintenance.Limits
+	Warm   time.Duration // that a cold data node needs
+	// Longest is the longest time of an attempt, so of a query: once nothing has been begun for so long, nothing is out.
+	Longest time.Duration
+	Bound   time.Duration // that announced machines may be sent to without a word from the store
+	Duty    time.Duration // length of the duty's lease
+	Drift   float64       // by how much clocks may run fast or slow
+	Every   time.Duration // between looks at the plan while the duty is held
+	Hook    []string      // called with out or done and the machine; none while empty
+	HookFor time.Duration // longest that the hook may take
+}
+
+// record is what a coordinator says in the store.
+type record struct {
+	Seen  uint64
+	Clear map[string]uint64 `json:",omitempty"`
+}
+
+// Steward is one coordinator's part.
+type Steward struct {
+	Options
+	start    time.Time
+	duty     *store.Lease
+	presence *store.Lease
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu       sync.Mutex
+	seen     uint64
+	clear    map[string]uint64
+	turns    map[string]uint64 // of machines that are barred
+	revision uint64            // of the plan that core goes by
+	adopted  bool              // there is one
+	logged   uint64            // moves told in the log
+	told     map[string]uint64
+	handed   map[string]uint64 // out: turns of which the hook was told
+	calls    map[string]bool   // hooks that run
+	retryAt  map[string]time.Time
+	renewals map[string]renewal
+}
+
+// renewal is when a presence was last seen to be renewed, by our own clock.
+type renewal struct {
+	kept lease.Kept
+	at   time.Time
+}
+
+// mostHooks is how many hooks run at once.
+const mostHooks = 8
+
+// Start takes part from now on. Core must have been told WatchWork.
+func Start(o Options) *Steward {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Steward{Options: o, start: time.Now(), stop: stop, clear: map[string]uint64{}, told: map[string]uint64{}, handed: map[string]uint64{},
+		calls: map[string]bool{}, retryAt: map[string]time.Time{}, renewals: map[string]renewal{}}
+	// The presence ends here by the longest attempt before it ends in the store: what was begun until then has its end.
+	own := lease.Config{Length: time.Duration(float64(o.Bound+o.Longest)*(1+o.Drift)/(1-o.Drift)) + time.Millisecond, Drift: o.Drift, Renew: 0.2}
+	s.presence = &store.Lease{Store: o.Store, Duty: o.Name, Presence: true, Who: o.Name, Config: own, Log: o.Log, Put: s.record,
+		Told: func(until time.Time) {
+			if _, ok := s.follow(); ok { // what is settled goes first
+				o.Core.Present(until.Add(-o.Longest))
+			}
+		}}
+	s.duty = &store.Lease{Store: o.Store, Duty: maintenance.Duty, Who: o.Name, Config: lease.Config{Length: o.Duty, Drift: o.Drift}, Log: o.Log}
+	s.remember()
+	s.wg.Go(func() { s.presence.Run(ctx, time.Millisecond) })
+	s.wg.Go(func() { s.duty.Run(ctx, o.Bound/8) })
+	s.wg.Go(func() { s.watch(ctx) })
+	s.wg.Go(func() { s.lead(ctx) })
+	return s
+}
+
+// remember starts from what this coordinator had applied before, if it had said then that it takes part: every request that
+// went on without hearing of us since was in it. Else nothing is known, and nothing is sent before the store has been heard.
+func (s *Steward) remember() {
+	raw := s.Store.Get(recordKey + s.Name)
+	if !s.Store.Lasting() || len(raw) == 0 {
+		return
+	}
+	var r record
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return
+	}
+	plan, err := decode(s.Store.Get(planKey))
+	if err != nil || plan.Seen() < r.Seen {
+		s.Log.Warn("what was kept of the work on machines is not used; nothing is sent before the store is heard", "cause", err)
+		return
+	}
+	s.mu.Lock()
+	s.seen = r.Seen
+	s.mu.Unlock()
+	s.Core.SetWork(workOf(plan))
+}
+
+func decode(raw []byte) (*maintenance.State, error) {
+	plan := &maintenance.State{}
+	if len(raw) == 0 {
+		return plan, nil
+	}
+	if err := json.Unmarshal(raw, plan); err != nil {
+		return nil, fmt.Errorf("plan in the store: %w", err)
+	}
+	return plan, nil
+}
+
+func workOf(plan *maintenance.State) core.Work {
+	o := plan.Overlay()
+	return core.Work{Barred: o.Barred, Addrs: o.Addrs, Announced: o.Announced, Back: o.Back}
+}
+
+// plan is the plan as it is applied here, and its revision; ok is false until this member has caught up with what it had
+// before.
+func (s *Steward) plan() (plan *maintenance.State, revision uint64, err error) {
+	var e replica.Entry
+	var at uint64
+	s.Store.Look(func(st *replica.State) { e, _ = st.Get(planKey); at = st.Index() })
+	if at == 0 {
+		return nil, 0, errors.New("the store has not been heard yet")
+	}
+	plan, err = decode(e.Value)
+	return plan, e.Revision, err
+}
+
+// record is what this coordinator says in the store with a campaign: what it has seen holds, what was clear does not matter.
+func (s *Steward) record() []replica.Pair {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, _ := json.Marshal(record{s.seen, s.clear})
+	return []replica.Pair{{Key: recordKey + s.Name, Value: data}}
+}
+
+// watch follows the plan, and says what is seen and clear.
+func (s *Steward) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := s.Store.Changed()
+		if news, _ := s.follow(); news {
+			s.say(ctx)
+		}
+		timer := time.NewTimer(20 * time.Millisecond) // an attempt's end is no change of the store
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// follow tells core what the plan as it is applied here says, and notes what is clear. It tells whether the store lacks any of
+// it; ok is false where nothing can be said yet.
+func (s *Steward) follow() (news, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok = s.adopt(); !ok {
+		return false, false
+	}
+	clear := map[string]uint64{}
+	for id, turn := range s.turns {
+		if s.clear[id] == turn || s.Core.Quiet(id) {
+			clear[id] = turn
+		}
+	}
+	s.clear = clear
+	var kept record
+	if raw := s.Store.Get(recordKey + s.Name); len(raw) == 0 || json.Unmarshal(raw, &kept) != nil {
+		return true, true
+	}
+	return kept.Seen != s.seen || !maps.Equal(kept.Clear, clear), true
+}
+
+// adopt takes over the plan, where it is another than the one that core goes by. The caller holds the lock.
+func (s *Steward) adopt() bool {
+	var e replica.Entry
+	var at uint64
+	s.Store.Look(func(st *replica.State) { e, _ = st.Get(planKey); at = st.Index() })
+	if at == 0 {
+		return false
+	}
+	if s.adopted && e.Revision == s.revision {
+		return true
+	}
+	plan, err := decode(e.Value)
+	if err != nil {
+		s.Log.Error("plan not understood; what is known of it holds", "cause", err)
+		return false
+	}
+	if plan.Seen() < s.seen {
+		return false // this member has not yet caught up with what it had seen before
+	}
+	for _, m := range plan.Recent {
+		if m.N > s.logged {
+			s.logged = m.N
+			s.Log.Info("machine in work", "n", m.N, "request", m.Request, "machine", m.Machine, "to", m.To.String(), "why", m.Why)
+		}
+	}
+	s.Core.SetWork(workOf(plan))
+	s.seen, s.turns, s.revision, s.adopted = plan.Seen(), plan.Overlay().Turns, e.Revision, true
+	return true
+}
+
+// say writes this coordinator's record. One that was forgotten by an operator writes it too: it is here.
+func (s *Steward) say(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
+	defer cancel()
+	if r, err := s.Store.Do(ctx, replica.Command{Put: s.record()}); err == nil {
+		s.Store.Wait(ctx, r.Index)
+	}
+}
+
+// coordinators are all that ever took part and were not forgotten.
+func (s *Steward) coordinators() (list []maintenance.Coordinator) {
+	present := map[string]lease.Kept{}
+	s.Store.Look(func(st *replica.State) {
+		for key, e := range st.Values() {
+			name, ok := strings.CutPrefix(key, recordKey)
+			var r record
+			if ok && json.Unmarshal(e.Value, &r) == nil {
+				list = append(list, maintenance.Coordinator{Name: name, Seen: r.Seen, Clear: r.Clear})
+			}
+		}
+		for _, k := range st.Present() {
+			present[k.Duty] = k
+		}
+	})
+	slices.SortFunc(list, func(a, b maintenance.Coordinator) int { return strings.Compare(a.Name, b.Name) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range list {
+		k := present[list[i].Name]
+		if old, ok := s.renewals[list[i].Name]; !ok || old.kept != k {
+			s.renewals[list[i].Name] = renewal{k, time.Now()}
+		}
+		// Our own count only says when it is worth asking the store, which decides by its table.
+		list[i].Over = k.Holder == "" || time.Since(s.renewals[list[i].Name].at) > k.Length+k.Length/20
+	}
+	maps.DeleteFunc(s.renewals, func(name string, _ renewal) bool {
+		return !slices.ContainsFunc(list, func(c maintenance.Coordinator) bool { return c.Name == name })
+	})
+	return list
+}
+
+// fleet is the fleet as this coordinator sees it.
+func (s *Steward) fleet() (*maintenance.Fleet, error) {
+	var list []maintenance.Machine
+	for _, l := range s.Core.Fleet() {
+		m := maintenance.Machine{ID: l.ID, Addr: l.Addr, Zone: l.Zone, Cell: l.Cell, Weight: l.Weight, Serving: l.State == core.Serving, Util: l.Util}
+		if m.Sound = m.Serving && !l.Cold && !l.Doubtful; !l.Started.IsZero() {
+			m.Started = l.Started.UnixMilli()
+		}
+		if l.State != core.Gone {
+			list = append(list, m)
+		}
+	}
+	return maintenance.NewFleet(s.Layout, list)
+}
+
+// lead makes moves for as long as the duty is held.
+func (s *Steward) lead(ctx context.Context) {
+	tick := time.NewTicker(s.Every)
+	defer tick.Stop()
+	var timer *maintenance.Timer
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if _, ok := s.duty.MayAct(); !ok {
+			timer = nil
+			s.mu.Lock()
+			clear(s.told)
+			clear(s.handed)
+			clear(s.renewals)
+			s.mu.Unlock()
+			continue
+		}
+		if timer == nil {
+			// What another holder settled is to be known before the first move.
+			one, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
+			err := s.Store.Sync(one)
+			cancel()
+			if err != nil {
+				continue
+			}
+			timer = &maintenance.Timer{}
+		}
+		if err := s.move(ctx, timer); err != nil && ctx.Err() == nil {
+			s.Log.Warn("no move was made", "cause", err)
+		}
+	}
+}
+
+// move looks once and makes what moves there are, in one command.
+func (s *Steward) move(ctx context.Context, timer *maintenance.Timer) error {
+	plan, revision, err := s.plan()
+	if err != nil || len(plan.Requests) == 0 {
+		return err
+	}
+	fleet, err := s.fleet()
+	if err != nil {
+		return err
+	}
+	v := &maintenance.View{Now: time.Since(s.start), Wall: time.Now(), Fleet: fleet, Limits: s.Limits, Warm: s.Warm, Coordinators: s.coordinators()}
+	if len(s.Hook) > 0 {
+		s.mu.Lock()
+		v.Told = maps.Clone(s.told)
+		s.mu.Unlock()
+	}
+	s.hooks(ctx, plan)
+	moves, changed := plan.Step(v, timer)
+	if !changed {
+		return nil
+	}
+	data, err := json.Marshal(plan)
+	if err != nil {
+		return err
+	}
+	token, ok := s.duty.MayAct()
+	if !ok {
+		return nil
+	}
+	c := replica.Command{If: []replica.Cond{{Key: planKey, Revision: revision}, {Duty: maintenance.Duty, Token: token}},
+		Put: []replica.Pair{{Key: planKey, Value: data}}}
+	for _, m := range moves {
+		for _, name := range m.Lapsed {
+			c.If = append(c.If, replica.Cond{Lapsed: name})
+		}
+	}
+	one, cancel := context.WithDeadline(ctx, time.Now().Add(2*time.Second))
+	defer cancel()
+	r, err := s.Store.Do(one, c)
+	if err == nil && r.Failed != "" && r.Failed != replica.Conflict {
+		err = r.Err()
+	}
+	if err == nil {
+		err = s.Store.Wait(one, r.Index)
+	}
+	if err != nil {
+		return fmt.Errorf("%d moves: %w", len(moves), err)
+	}
+	if r.Failed != "" {
+		s.Log.Info("moves not taken; looked at anew", "moves", len(moves), "cause", r.Why)
+	}
+	return nil
+}
+
+// edit changes the plan by an operator's word, whoever else changes it meanwhile.
+func (s *Steward) edit(ctx context.Context, change func(*maintenance.State) error) error {
+	for {
+		if err := s.Store.Sync(ctx); err != nil {
+			return fmt.Errorf("the store was not heard in time; try again, or at another coordinator: %w", err)
+		}
+		plan, revision, err := s.plan()
+		if err != nil {
+			return err
+		}
+		if err := change(plan); err != nil {
+			return err
+		}
+		data, err := json.Marshal(plan)
+		if err != nil {
+			return err
+		}
+		r, err := s.Store.Do(ctx, replica.Command{If: []replica.Cond{{Key: planKey, Revision: revision}}, Put: []replica.Pair{{Key: planKey, Value: data}}})
+		switch {
+		case err != nil:
+			return fmt.Errorf("the store did not answer in time, so it may or may not have been taken; look with `gullfall work list`: %w", err)
+		case r.Failed == "":
+			return s.Store.Wait(ctx, r.Index)
+		case r.Failed != replica.Conflict:
+			return r.Err()
+		}
+	}
+}
+
+// Leave gives the duty back at once, so that another takes it over; this coordinator goes on taking part.
+func (s *Steward) Leave(ctx context.Context) error { return s.duty.Resign(ctx) }
+
+// Close ends the part. Where quiet is set nothing is out or begun any more anywhere, and the presence is given back by ctx's
+// deadline, so that nobody waits for it to run out.
+func (s *Steward) Close(ctx context.Context, quiet bool) {
+	s.Core.Present(time.Time{})
+	if quiet {
+		s.presence.Resign(ctx)
+	}
+	s.stop()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/internal/store/lease.go
@@ -0,0 +1,143 @@
+package store
+
+// This file owns one coordinator's part in one duty: it campaigns, renews and gives back, by the decisions of internal/lease
+// over the replicated table. It must never let a lease be acted on for longer than its holder's own clock proves.
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"gullfall/internal/lease"
+	"gullfall/internal/replica"
+)
+
+// Lease is held, or campaigned for, as long as Run runs.
+type Lease struct {
+	Store    *Store
+	Duty     string
+	Presence bool                  // the coordinator's own presence; Duty is its name
+	Who      string                // the coordinator
+	Config   lease.Config          // its length, the bound on clocks
+	Put      func() []replica.Pair // goes with each campaign; may be nil
+	Told     func(until time.Time) // of each grant, renewals included; may be nil
+	Log      *slog.Logger
+
+	mu     sync.Mutex
+	holder *lease.Holder
+	held   bool // as logged last
+}
+
+// Run campaigns and renews until ctx ends. The first campaign waits for a pause of this coordinator's own.
+func (l *Lease) Run(ctx context.Context, pause time.Duration) {
+	l.mu.Lock()
+	l.holder = lease.NewHolder(l.Config, l.now(), pause)
+	l.mu.Unlock()
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		now := l.now()
+		ask, next := l.holder.Step(now), l.holder.Next()
+		l.mu.Unlock()
+		l.tell()
+		if ask.What == lease.Wait {
+			timer := time.NewTimer(min(max(next-now, time.Millisecond), 100*time.Millisecond))
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			}
+			timer.Stop()
+			continue
+		}
+		l.ask(ctx, ask, now)
+	}
+}
+
+func (l *Lease) now() time.Duration { return time.Since(l.Store.start) }
+
+// ask puts one request and takes in what came of it.
+func (l *Lease) ask(ctx context.Context, ask lease.Ask, sent time.Duration) {
+	c := replica.Command{Lease: &replica.LeaseOp{What: replica.Campaign, Duty: l.Duty, Presence: l.Presence, Who: l.Who, Term: ask.Term, Length: l.Config.Length}}
+	if ask.What == lease.Renew {
+		c.Lease.What = replica.Renew
+	} else if l.Put != nil {
+		c.Put = l.Put()
+	}
+	// A third of the lease: then there is time for another try.
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(l.Config.Acting()/3))
+	defer cancel()
+	r, err := l.Store.Do(ctx, c)
+	if err == nil && r.Failed == "" {
+		// What was settled before the grant is known here before it is acted on.
+		err = l.Store.Wait(ctx, r.Index)
+	}
+	l.mu.Lock()
+	switch {
+	case err != nil:
+		l.holder.Lost(l.now(), ask.N)
+	case r.Failed != "":
+		l.holder.Denied(l.now(), ask.N)
+	default:
+		l.holder.Granted(l.now(), ask.N, r.Grant)
+	}
+	l.mu.Unlock()
+	if err == nil && r.Failed == "" && l.Told != nil {
+		l.Told(l.Store.start.Add(sent + l.Config.Acting()))
+	}
+	l.tell()
+}
+
+// tell logs that the lease was won or lost.
+func (l *Lease) tell() {
+	l.mu.Lock()
+	token, held := l.holder.MayAct(l.now())
+	changed := held != l.held
+	l.held = held
+	l.mu.Unlock()
+	switch {
+	case !changed || l.Presence:
+	case held:
+		l.Log.Info("duty taken over", "duty", l.Duty, "token", token)
+	default:
+		l.Log.Info("duty no longer held", "duty", l.Duty)
+	}
+}
+
+// MayAct tells whether the duty may be acted on now, and under which token.
+func (l *Lease) MayAct() (token uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holder == nil {
+		return 0, false
+	}
+	return l.holder.MayAct(l.now())
+}
+
+// Resign stops acting at once and gives the lease back, by ctx's deadline; else it runs out.
+func (l *Lease) Resign(ctx context.Context) error {
+	l.mu.Lock()
+	if l.holder == nil {
+		l.mu.Unlock()
+		return nil
+	}
+	g, held := l.holder.Resign()
+	l.mu.Unlock()
+	l.tell()
+	if !held {
+		return nil
+	}
+	r, err := l.Store.Do(ctx, replica.Command{Lease: &replica.LeaseOp{What: replica.Resign, Duty: l.Duty, Presence: l.Presence, Who: l.Who, Term: g.Term}})
+	if err != nil {
+		return err
+	}
+	return r.Err()
+}
+
+// StandBack gives the lease back and campaigns again only after its length, so that another can take it over.
+func (l *Lease) StandBack(ctx context.Context) error {
+	err := l.Resign(ctx)
+	l.mu.Lock()
+	l.holder = lease.NewHolder(l.Config, l.now(), l.Config.Length)
+	l.mu.Unlock()
+	return err
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,7 +25,6 @@
 	"github.com/hashicorp/raft"
 
 	"gullfall/internal/config"
-	"gullfall/internal/lease"
 	"gullfall/internal/replica"
 )
 
@@ -35,11 +34,6 @@
 	Members  = "members"
 )
 
-// Options are the figures of the state, the same at every member.
-type Options struct {
-	Duties, Presence lease.Config
-}
-
 // Store is one member.
 type Store struct {
 	log    *slog.Logger
@@ -64,17 +58,9 @@
 
 // Open starts the member called name; what it had applied on disk can be read at once.
 func Open(cfg config.Store, name string, log *slog.Logger) (*Store, error) {
-	return OpenWith(cfg, name, log, Options{})
-}
-
-// OpenWith is Open with figures of its own for leases.
-func OpenWith(cfg config.Store, name string, log *slog.Logger, o Options) (*Store, error) {
-	s := &Store{log: log, name: name, start: time.Now(), want: map[string][]byte{}, wake: make(chan struct{}, 1), changed: make(chan struct{}),
+	s := &Store{log: log, name: name, start: time.Now(), state: replica.New(), want: map[string][]byte{}, wake: make(chan struct{}, 1), changed: make(chan struct{}),
 		ended: make(chan struct{})}
 	var err error
-	if s.state, err = replica.New(o.Duties, o.Presence); err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
 	var process [6]byte
 	if _, err := rand.Read(process[:]); err != nil {
 		return nil, err
