Work on machines: called a few at a time, so that who is cut off does without these alone; gullfall-lab work

The first cut announced all machines of a request: a coordinator cut off from the store then sent to none of them after its bound, and with a request for all machines refused every query; so would all, had the store lost its quorum.

--- /dev/null
+++ b/cmd/gullfall-lab/work.go
@@ -0,0 +1,295 @@
+package main
+
+// This file owns `gullfall-lab work`: several coordinators of the real program take machines out for work, again and again,
+// while they are killed, stalled and cut off from each other and data nodes crash. It plays the same faults without any work
+// first, for the share of queries that is served then. It must never leave a process behind.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/proxy"
+	"gullfall/internal/maintenance"
+	"gullfall/internal/steward"
+)
+
+type workCmd struct {
+	Coordinators int           `default:"5" help:"How many coordinators."`
+	Voters       int           `default:"3" help:"Of them, members of the store with a vote; the others hold a copy."`
+	PerZone      int           `default:"4" help:"Data nodes in each of the three zones."`
+	For          time.Duration `default:"60s" help:"How long faults befall them while machines go out; afterwards all is mended and the plans end."`
+	Baseline     time.Duration `default:"30s" help:"How long the same is played without any work."`
+	Rate         float64       `default:"20" help:"Queries a second at each coordinator."`
+	Seed         uint64        `default:"1" help:"Settles the faults, the load and the coordinators' draws."`
+	Binary       string        `help:"The gullfall to measure; beside this program by default."`
+	JSON         string        `name:"json" help:"Write the figures here."`
+}
+
+// workReport is what a play showed.
+type workReport struct {
+	Coordinators  int            `json:"coordinators"`
+	Faults        int            `json:"faults"`
+	Kinds         map[string]int `json:"kinds"`
+	Machines      int            `json:"machines"`        // handed over, one counted as often as it was
+	Completed     int            `json:"completed"`       // requests that ended
+	Requests      int            `json:"requests"`        //
+	Moves         int            `json:"moves"`           //
+	Asked         int            `json:"asked"`           // queries, outside faults of their own coordinator
+	Lost          int            `json:"lost"`            // of them
+	Wrong         int            `json:"wrong"`           //
+	Refused       int            `json:"refused"`         //
+	Failed        int            `json:"failed"`          //
+	SentWhileOut  int            `json:"sent_while_out"`  // parts to a machine between its hand-over and its return
+	FloorBroken   int            `json:"floor_broken"`    // looks at which work had taken a shard below its floor
+	TwoOrders     int            `json:"two_orders"`      // moves that two coordinators told differently
+	OverColdBound int            `json:"over_cold_bound"` // machines that got more in the first second after their return
+	ColdBound     float64        `json:"cold_bound"`      //
+	MostReturn    int            `json:"most_return"`     // most parts in that second
+	Twins         int            `json:"twins"`           //
+	StalledMS     float64        `json:"stalled_ms"`      // longest that an open request saw no move
+	Served        float64        `json:"served"`          // share of the queries
+	ServedIdle    float64        `json:"served_idle"`     // with no work going on
+	ServedRatio   float64        `json:"served_ratio"`    //
+	Said          []string       `json:"said,omitempty"`
+}
+
+// Run plays.
+func (c *workCmd) Run() error {
+	idle, err := c.play(c.Baseline, false)
+	if err != nil {
+		return err
+	}
+	r, err := c.play(c.For, true)
+	if err != nil {
+		return err
+	}
+	r.ServedIdle = idle.Served
+	r.ServedRatio = r.Served / max(idle.Served, 1e-9)
+	fmt.Printf("%-28s %v\n", "coordinators, voters", []int{c.Coordinators, c.Voters})
+	fmt.Printf("%-28s %d %v\n", "faults", r.Faults, r.Kinds)
+	fmt.Printf("%-28s %d of %d requests, %d moves\n", "machines handed over", r.Machines, r.Completed, r.Moves)
+	fmt.Printf("%-28s %d of %d asked, %d wrong, %d refused, %d failed, %d twins\n", "queries lost", r.Lost, r.Asked, r.Wrong, r.Refused, r.Failed, r.Twins)
+	fmt.Printf("%-28s %d sent while out, %d looks under a floor, %d moves told differently\n", "broken", r.SentWhileOut, r.FloorBroken, r.TwoOrders)
+	fmt.Printf("%-28s %d over the bound of %.1f; %d parts at most in the first second\n", "cold returns", r.OverColdBound, r.ColdBound, r.MostReturn)
+	fmt.Printf("%-28s %.1f s\n", "longest without a move", r.StalledMS/1000)
+	fmt.Printf("%-28s %.4f, and %.4f with no work going on: %.4f\n", "served", r.Served, r.ServedIdle, r.ServedRatio)
+	for _, s := range r.Said {
+		fmt.Println("  " + s)
+	}
+	if err := writeJSON(c.JSON, r); err != nil {
+		return err
+	}
+	if r.Lost+r.Wrong+r.SentWhileOut+r.FloorBroken+r.TwoOrders+r.OverColdBound+r.Twins > 0 || r.Completed < r.Requests {
+		return fmt.Errorf("a rule broke or a request did not end: see above")
+	}
+	return nil
+}
+
+const workWarm = 5 * time.Second // that the lab's data nodes need
+
+func (c *workCmd) play(d time.Duration, work bool) (r workReport, err error) {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(d+4*time.Minute))
+	defer cancel()
+	r.Coordinators, r.Kinds = c.Coordinators, map[string]int{}
+	w, err := fleet.StartWorks(ctx, fleet.WorksOptions{Coordinators: c.Coordinators, Voters: c.Voters, PerZone: c.PerZone, Rate: c.Rate, Floor: 2, Share: 0.35,
+		Bound: time.Second, Lease: 2 * time.Second, Warm: workWarm, Heartbeat: 500 * time.Millisecond, Work: 400 * time.Millisecond,
+		Binary: binary(c.Binary), Seed: c.Seed})
+	if w != nil {
+		defer w.Stop()
+	}
+	if err != nil {
+		return r, err
+	}
+	time.Sleep(5 * time.Second) // all are present, and the load is steady
+	r.ColdBound = fleet.WorkColdBound(workWarm)
+	p := &workPlay{c: c, w: w, chance: rand.New(rand.NewPCG(c.Seed, 9)), kinds: r.Kinds}
+	var asking sync.WaitGroup
+	stop := make(chan struct{})
+	if work {
+		asking.Go(func() { p.ask(ctx, stop) })
+	}
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+		if err := p.fault(ctx); err != nil {
+			return r, err
+		}
+		r.Faults++
+		time.Sleep(time.Duration(300+p.chance.IntN(900)) * time.Millisecond)
+	}
+	if err := p.mend(ctx); err != nil {
+		return r, err
+	}
+	close(stop)
+	asking.Wait()
+	if work {
+		err := w.Until(ctx, "every request ends", time.Now().Add(2*time.Minute), func(v steward.View) bool {
+			r.Requests, r.Completed = int(v.Plan.Next), int(v.Plan.Next)
+			for _, q := range v.Plan.Requests {
+				if q.State == maintenance.Finished || q.State == maintenance.GivenUp {
+					continue
+				}
+				if r.Completed--; q.State != maintenance.Open {
+					w.Order(ctx, 0, maintenance.Resume, q.ID)
+				}
+			}
+			return r.Completed == r.Requests && r.Requests > 0
+		})
+		if err != nil {
+			r.Said = append(r.Said, err.Error())
+		}
+	}
+	time.Sleep(5 * time.Second) // the last faults' clients are not counted
+	clean := w.Clean()
+	w.EndLoad()
+	f := w.Verdict()
+	r.Machines, r.Moves, r.SentWhileOut, r.FloorBroken, r.TwoOrders = f.HandedOver, w.Moves(), f.SentWhileOut, f.FloorBroken, f.TwoOrders
+	r.Said = append(r.Said, f.Said...)
+	r.Asked, r.Lost, r.Wrong, r.Refused, r.Failed = clean.Asked, clean.Lost, clean.Wrong, clean.Refused, clean.Failed
+	r.Served = float64(clean.Served) / float64(max(clean.Asked, 1))
+	for _, n := range w.Returns {
+		if r.MostReturn = max(r.MostReturn, n); float64(n) > r.ColdBound {
+			r.OverColdBound++
+		}
+	}
+	r.StalledMS = float64(w.Stalled.Milliseconds())
+	r.Twins = w.Ledger.Account().Twins
+	return r, nil
+}
+
+// workPlay is one play's faults.
+type workPlay struct {
+	c      *workCmd
+	w      *fleet.Works
+	chance *rand.Rand
+	kinds  map[string]int
+}
+
+// ask keeps requests open: two operators at two coordinators, whose requests cross.
+func (p *workPlay) ask(ctx context.Context, stop chan struct{}) {
+	chance := rand.New(rand.NewPCG(p.c.Seed, 10))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+		i := chance.IntN(p.c.Coordinators)
+		if !p.w.Up(i) {
+			continue
+		}
+		v, err := p.w.Look(ctx, i, false)
+		if err != nil || v.Plan == nil {
+			continue
+		}
+		open := 0
+		for _, r := range v.Plan.Requests {
+			switch {
+			case r.State == maintenance.Open:
+				open++
+			case r.State == maintenance.Paused || r.State == maintenance.Stopped:
+				p.w.Order(ctx, i, maintenance.Resume, r.ID)
+			}
+		}
+		if open >= 2 {
+			if v.Plan.Moved%7 == 3 {
+				p.w.Order(ctx, i, maintenance.Pause, v.Plan.Requests[len(v.Plan.Requests)-1].ID)
+			}
+			continue
+		}
+		a := steward.Ask{By: fmt.Sprint("operator at ", i), Takes: time.Minute, Back: time.Minute, GoOn: true, Zone: []string{"a", "b", "c"}[chance.IntN(3)]}
+		if chance.IntN(3) == 0 {
+			a.Zone, a.All = "", true
+		}
+		p.w.Ask(ctx, i, a) // those that cross another are refused
+	}
+}
+
+// fault lets one thing befall the fleet, and mends it.
+func (p *workPlay) fault(ctx context.Context) error {
+	w, n := p.w, p.c.Coordinators
+	some := p.chance.IntN(n)
+	if h := w.Holder(ctx); h >= 0 && p.chance.IntN(2) == 0 {
+		some = h
+	}
+	while := time.Duration(500+p.chance.IntN(3000)) * time.Millisecond
+	f := []proxy.Fault{proxy.Drop, proxy.Cut, proxy.Reset, proxy.Delay, proxy.DropUp, proxy.DropDown}[p.chance.IntN(6)]
+	switch kind := p.chance.IntN(20); {
+	case kind < 5:
+		p.kinds["kill"]++
+		if err := w.Kill(some); err != nil {
+			return err
+		}
+		time.Sleep(while / 2)
+		return w.Start(ctx, some)
+	case kind < 9:
+		p.kinds["stall"]++
+		if err := w.Stall(some, true); err != nil {
+			return err
+		}
+		time.Sleep(while)
+		return w.Stall(some, false)
+	case kind < 12:
+		p.kinds["isolate "+f.String()]++
+		w.Isolate(some, f)
+		time.Sleep(while)
+		w.Isolate(some, proxy.Pass)
+	case kind < 14:
+		p.kinds["one way "+f.String()]++
+		to := (some + 1 + p.chance.IntN(n-1)) % n
+		w.Cut(some, to, f)
+		time.Sleep(while)
+		w.Cut(some, to, proxy.Pass)
+	case kind < 16:
+		p.kinds["split"]++
+		set := func(f proxy.Fault) {
+			for i := range n {
+				for j := range n {
+					if i != j && (i < 2) != (j < 2) { // two votes on one side, one on the other
+						w.Cut(i, j, f)
+					}
+				}
+			}
+		}
+		set(proxy.Drop)
+		time.Sleep(while)
+		set(proxy.Pass)
+	case kind < 17:
+		p.kinds["end"]++
+		if err := w.End(some); err != nil {
+			return err
+		}
+		return w.Start(ctx, some)
+	case kind < 19:
+		p.kinds["data node"]++
+		return w.Crash(p.chance.IntN(len(w.Nodes)), while/2)
+	default:
+		p.kinds["all killed"]++
+		for i := range n {
+			if err := w.Kill(i); err != nil {
+				return err
+			}
+		}
+		for i := range n {
+			if err := w.Start(ctx, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// mend undoes what may be left.
+func (p *workPlay) mend(ctx context.Context) error {
+	for i := range p.c.Coordinators {
+		p.w.Isolate(i, proxy.Pass)
+		if !p.w.Up(i) {
+			if err := p.w.Start(ctx, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/cmd/gullfall/work.go
+++ b/cmd/gullfall/work.go
@@ -365,8 +365,8 @@
 		}
 		t.Flush()
 		for _, co := range v.Coordinators {
-			if !co.Present || co.Seen < r.ID {
-				fmt.Printf("%s: present %v, has seen requests up to %d\n", co.Name, co.Present, co.Seen)
+			if !co.Present || co.Seen < v.Plan.Seen() {
+				fmt.Printf("%s: present %v, has seen %d calls of %d\n", co.Name, co.Present, co.Seen, v.Plan.Seen())
 			}
 		}
 		for _, a := range v.Plan.Audit[max(0, len(v.Plan.Audit)-10):] {
--- a/internal/maintenance/fleet.go
+++ b/internal/maintenance/fleet.go
@@ -18,7 +18,7 @@
 	Cell           int
 	Weight         float64
 	Serving        bool    // listed as such
-	Sound          bool    // serving, warm, not doubtful, its zone does not fail
+	Sound          bool    // serving, not cold since its start or its return from work, not doubtful, its zone does not fail
 	Util           float64 // how busy it is, 0 to 1; 0 where not known
 	Started        int64   // of its process, Unix milliseconds; 0 where not known
 }
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -4,14 +4,14 @@
 //
 // A machine's step, and what each move needs:
 //
-//	waiting   -> draining   the request is open, each coordinator has seen it, the limits hold with the machine out, no barred hour
+//	waiting   -> draining   it was called, each coordinator has seen that, and the limits still hold with the machine out
 //	draining  -> drained    each coordinator has said that it has nothing out there and sends nothing, or is away: see below
 //	draining  -> waiting    paused, or the limits no longer hold: nothing was handed over yet, so it is taken back
 //	drained   -> out        the limits hold: it is handed over, and the hook is called
 //	drained   -> waiting    as above
 //	out       -> returning  an operator or the hook said that it is done, or it is listed with a later start
 //	out       -> failed     it was out for longer than the request says
-//	returning -> warm       it serves, and has for as long as a cold data node needs to be warm
+//	returning -> warm       it is sound: it serves, and has had since its return what a cold data node needs to be warm
 //	returning -> failed     it does not serve in its time
 //	failed    -> returning  an operator said that it is done
 //	warm      -> done       the hook was called
@@ -19,10 +19,12 @@
 //
 // Coordinators send to a machine that is waiting, returning, warm, done or abandoned, and to no other.
 //
-// A coordinator that is away: it may send to machines of requests that it has seen only while it holds its presence, a lease
-// that the store grants (internal/lease). Its own count of that ends before the store's does, by the longest time of an
-// attempt, so once the store holds the presence for over nothing of it is out at such a machine. One that has not seen the
-// request is waited for, since it does not know which machines these are.
+// A waiting machine is called before it is drained: where the request is open, no hour is barred and the limits hold with it
+// and all else that is called out. From then on a coordinator may send to it only while it holds its presence, a lease that the
+// store grants (internal/lease). The coordinator's own count of that ends before the store's does, by the longest time of an
+// attempt, so once the store holds the presence for over, nothing of one that has seen the call is out at the machine. One that
+// has not seen it is waited for, since it does not know which machine that is. Who is cut off from the store, or all should the
+// store lose its quorum, do without the machines that are called, and the limits hold for these together.
 package maintenance
 
 import (
@@ -68,6 +70,9 @@
 // Barred tells that nothing may be sent to a machine in this state.
 func (s StepState) Barred() bool { return s == Draining || s == Drained || s == Out || s == Failed }
 
+// missing tells that a machine is out, or may be without further notice: the limits count it so.
+func (s *Step) missing() bool { return s.State.inWork() || s.State == Waiting && s.Call > 0 }
+
 // ended tells that a step goes no further by itself.
 func (s StepState) ended() bool { return s == Done || s == Abandoned }
 
@@ -95,6 +100,7 @@
 type Step struct {
 	Machine string
 	State   StepState
+	Call    uint64 `json:",omitempty"` // number of its call; 0 before, and once it was taken back
 	Turn    uint64 `json:",omitempty"` // counts drains, so that what was said of an earlier one is not taken for this
 	Addr    string `json:",omitempty"` // where it listened as it was drained
 	Started int64  `json:",omitempty"` // of its process then
@@ -138,7 +144,8 @@
 
 // State is all requests; a value of the replicated store. It is not safe for concurrent use.
 type State struct {
-	Next     uint64 // id of the next request; who has seen it has seen all before
+	Next     uint64 // id of the latest request
+	Calls    uint64 // calls ever made; who has seen one has seen all before
 	Turn     uint64
 	Requests []*Request
 	Audit    []Audit
@@ -156,7 +163,7 @@
 }
 
 // Seen is what a coordinator says that it has seen, once it has applied this state.
-func (s *State) Seen() uint64 { return s.Next }
+func (s *State) Seen() uint64 { return s.Calls }
 
 // Request finds one; nil for none.
 func (s *State) Request(id uint64) *Request {
@@ -371,7 +378,9 @@
 
 // set changes a step's state and notes the move.
 func (s *State) set(r *Request, st *Step, to StepState, why string) {
-	st.State = to
+	if st.State = to; to == Waiting || to.ended() {
+		st.Call = 0
+	}
 	s.Moved++
 	s.Recent = append(s.Recent, Moved{s.Moved, r.ID, st.Machine, to, why})
 	if len(s.Recent) > 2*mostMoved {
@@ -383,7 +392,7 @@
 type Overlay struct {
 	Barred    map[string]bool   // by id
 	Addrs     map[string]bool   // by address: a machine may come up under a new id while it is out
-	Announced map[string]bool   // of requests that are not over: to be sent to only while present
+	Announced map[string]bool   // called: to be sent to only while present
 	Back      map[string]uint64 // returning: the turn
 	Turns     map[string]uint64 // barred: the turn
 }
@@ -405,7 +414,7 @@
 					o.Back[st.As] = st.Turn
 				}
 			}
-			if !st.State.ended() {
+			if st.missing() {
 				o.Announced[st.Machine] = true
 			}
 		}
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -80,7 +80,7 @@
 	o := v.Fleet.none(v.Limits)
 	for _, r := range s.Requests {
 		for _, st := range r.Steps {
-			if m := v.Fleet.Machine(st.Machine); m != nil && st.State.inWork() {
+			if m := v.Fleet.Machine(st.Machine); m != nil && st.missing() {
 				o.put(m, 1)
 			}
 		}
@@ -98,11 +98,13 @@
 			s.back(v, t, o, r, st, move)
 		}
 	}
-	why := map[uint64]string{}
+	why, calls := map[uint64]string{}, false
 	for _, r := range s.Requests {
-		why[r.ID] = s.forth(v, o, r, move)
+		var called bool
+		why[r.ID], called = s.forth(v, o, r, move)
+		calls = calls || called
 	}
-	changed = len(moves) > 0
+	changed = calls || len(moves) > 0
 	for _, r := range s.Requests {
 		if r.State != Open || r.Why == why[r.ID] {
 			continue
@@ -133,7 +135,7 @@
 		}
 	case Returning:
 		switch {
-		case m != nil && m.Sound && held >= v.Warm:
+		case m != nil && m.Sound: // so no longer cold
 			move(r, Move{Machine: st.Machine, To: Warm, Why: "it serves and has had its time to warm up"})
 		case held > r.Back+v.Warm:
 			move(r, Move{Machine: st.Machine, To: Failed, Why: fmt.Sprintf("it does not serve %v after its return", held.Round(time.Second))})
@@ -170,97 +172,121 @@
 	return "", false
 }
 
-// forth makes the moves towards work, and tells why a request does not move.
-func (s *State) forth(v *View, o *out, r *Request, move func(*Request, Move) bool) (why string) {
-	paused := r.State != Open
-	// What is begun and not handed over: on, or back where it may not go on.
-	for _, st := range r.Steps {
-		if st.State != Draining && st.State != Drained {
-			continue
-		}
-		m := v.Fleet.Machine(st.Machine)
-		hold := ""
-		switch {
-		case paused:
-			hold = "the request is " + string(r.State)
-		case m != nil:
-			// The limits are asked with it out: as if it were put there just now.
-			o.put(m, -1)
-			if hold = o.fits(m); hold == "" {
-				o.put(m, 1)
-			}
-		}
-		if hold != "" {
-			move(r, Move{Machine: st.Machine, To: Waiting, Why: "taken back: " + hold})
-			why = hold
-			continue
-		}
-		if st.State == Draining {
-			waits, lapsed := drained(v, r, st)
-			if waits != "" {
-				why = waits
-				continue
-			}
-			move(r, Move{Machine: st.Machine, To: Drained, Why: "nothing is out there", Lapsed: lapsed})
-			continue // handed over at the next look, by what is known then
-		}
-		move(r, Move{Machine: st.Machine, To: Out})
+// again asks the limits of a machine that counts as missing, as if it were put there just now; it counts no longer where they
+// forbid it.
+func again(o *out, m *Machine) (hold string) {
+	if m == nil {
+		return ""
+	}
+	o.put(m, -1)
+	if hold = o.fits(m); hold == "" {
+		o.put(m, 1)
 	}
+	return hold
+}
+
+// forth makes the moves towards work, and tells why a request does not move and whether machines were called or are no longer.
+func (s *State) forth(v *View, o *out, r *Request, move func(*Request, Move) bool) (why string, changed bool) {
+	halt := ""
 	switch {
-	case paused:
-		return why
+	case r.State != Open:
+		halt = "the request is " + string(r.State)
 	case v.Wall.Unix() < r.NotBefore:
-		return "not before " + time.Unix(r.NotBefore, 0).UTC().Format(time.RFC3339)
+		halt = "not before " + time.Unix(r.NotBefore, 0).UTC().Format(time.RFC3339)
 	case barred(r.Barred, v.Wall):
-		return "these hours are barred"
+		halt = "these hours are barred"
 	}
-	var blind []string
-	for _, c := range v.Coordinators {
-		if c.Seen < r.ID {
-			blind = append(blind, c.Name)
+	// Back where it may not go on: what was only called first, then what drains, and of these the last in the order.
+	for _, state := range []StepState{Waiting, Draining, Drained} {
+		for _, st := range slices.Backward(r.Steps) {
+			if st.State != state || !st.missing() {
+				continue
+			}
+			m, hold := v.Fleet.Machine(st.Machine), halt
+			if hold == "" {
+				hold = again(o, m)
+			} else if m != nil {
+				o.put(m, -1)
+			}
+			switch {
+			case hold == "":
+			case state == Waiting:
+				st.Call, why, changed = 0, hold, true
+			default:
+				move(r, Move{Machine: st.Machine, To: Waiting, Why: "taken back: " + hold})
+				why = hold
+			}
 		}
 	}
-	if len(blind) > 0 {
-		return "not seen yet by " + strings.Join(blind, ", ") + "; one that is gone for good is to be forgotten"
-	}
 	ours := 0
 	for _, st := range r.Steps {
-		if st.State.inWork() && st.State != Failed {
+		m := v.Fleet.Machine(st.Machine)
+		if st.missing() && st.State != Failed {
 			ours++
 		}
+		switch {
+		case st.State == Waiting && st.Call > 0:
+			if blind := unseen(v, st); blind != "" {
+				why = fmt.Sprintf("%s: not seen yet by %s; one that is gone for good is to be forgotten", st.Machine, blind)
+			} else if m != nil {
+				move(r, Move{Machine: st.Machine, To: Draining, Addr: m.Addr, Started: m.Started})
+			}
+		case st.State == Draining:
+			waits, lapsed := drained(v, st)
+			if waits == "" { // handed over at the next look, by what is known then
+				move(r, Move{Machine: st.Machine, To: Drained, Why: "nothing is out there", Lapsed: lapsed})
+			} else {
+				why = waits
+			}
+		case st.State == Drained:
+			move(r, Move{Machine: st.Machine, To: Out})
+		}
+	}
+	if halt != "" {
+		return halt, changed
 	}
 	for _, st := range r.Steps {
-		if st.State != Waiting {
+		if st.State != Waiting || st.Call > 0 {
 			continue
 		}
 		if r.AtOnce > 0 && ours >= r.AtOnce {
 			break
 		}
-		m := v.Fleet.Machine(st.Machine)
-		if m == nil {
-			why = fmt.Sprintf("%s is not listed", st.Machine)
-			continue
+		m, hold := v.Fleet.Machine(st.Machine), "it is not listed"
+		if m != nil {
+			hold = o.fits(m)
 		}
-		if hold := o.fits(m); hold != "" {
+		if hold != "" {
 			if why == "" {
 				why = st.Machine + ": " + hold
 			}
 			continue
 		}
-		if move(r, Move{Machine: st.Machine, To: Draining, Addr: m.Addr, Started: m.Started}) {
-			o.put(m, 1)
-			ours++
+		s.Calls++
+		st.Call, changed = s.Calls, true
+		o.put(m, 1)
+		ours++
+	}
+	return why, changed
+}
+
+// unseen lists the coordinators that have not seen a machine's call.
+func unseen(v *View, st *Step) string {
+	var blind []string
+	for _, c := range v.Coordinators {
+		if c.Seen < st.Call {
+			blind = append(blind, c.Name)
 		}
 	}
-	return why
+	return strings.Join(blind, ", ")
 }
 
 // drained tells whom a drain waits for, or whose presence has to be over for it.
-func drained(v *View, r *Request, st *Step) (waits string, lapsed []string) {
+func drained(v *View, st *Step) (waits string, lapsed []string) {
 	for _, c := range v.Coordinators {
 		switch {
 		case c.Clear[st.Machine] == st.Turn:
-		case c.Over && c.Seen >= r.ID:
+		case c.Over && c.Seen >= st.Call:
 			lapsed = append(lapsed, c.Name)
 		default:
 			return fmt.Sprintf("%s: %s has not said that nothing is out there", st.Machine, c.Name), nil
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -335,6 +335,10 @@
 	if err != nil || len(plan.Requests) == 0 {
 		return err
 	}
+	// What the plan says is known to core before the fleet is looked at: who comes back is cold from then on.
+	if _, ok := s.follow(); !ok {
+		return nil
+	}
 	fleet, err := s.fleet()
 	if err != nil {
 		return err
