Work on machines: a call counts as seen only by who is present, and no step goes below a floor

A coordinator without presence said that it had seen a machine's call while a part of its own, sent before it knew of the call, was still out there. The holder then took its presence, long over in the store, as the end of that part, and handed the machine over. follow in internal/steward/steward.go wrote what is applied, present or not. It now says only what it had applied while present (core.IsPresent): such parts end before the store holds the presence for over. 2. fits in internal/maintenance/fleet.go let any machine that is not sound go, since it takes no sound replica away. Where its shard is below the floor already it may be the first that comes back, and work on it keeps the shard there. It now waits (TestRefusals has the case and fails without the change).

Ruled out: taking the record out of the campaign command, which changes nothing as the record is only written while present.

--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -65,6 +65,9 @@
 	c.wakeUp()
 }
 
+// IsPresent tells whether announced machines may be sent to now.
+func (c *Core) IsPresent() bool { return !c.absent() }
+
 // absent tells that announced machines may not be sent to now.
 func (c *Core) absent() bool {
 	return c.work != nil && int64(c.clock(time.Now())) >= c.work.present.Load()
--- a/internal/maintenance/fleet.go
+++ b/internal/maintenance/fleet.go
@@ -123,8 +123,9 @@
 		return fmt.Sprintf("%d machines are in work, as many as may be at once", o.n)
 	}
 	for _, s := range o.f.held[m.Cell] {
-		if m.Sound && o.f.sound[s]-o.sound[s] <= o.l.Floor {
-			return fmt.Sprintf("shard %d has %d sound replicas and keeps %d", s, o.f.sound[s]-o.sound[s], o.l.Floor)
+		// One that is not sound takes nothing away, but where others are missing it may be all that comes back soon.
+		if left := o.f.sound[s] - o.sound[s]; left < o.l.Floor || m.Sound && left == o.l.Floor {
+			return fmt.Sprintf("shard %d has %d sound replicas and keeps %d", s, left, o.l.Floor)
 		}
 		if o.l.PerShard > 0 && o.inWork[s] >= o.l.PerShard {
 			return fmt.Sprintf("shard %d has %d replicas in work, as many as may be at once", s, o.inWork[s])
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -118,6 +118,8 @@
 		{"a single replica", Limits{Floor: 1}, func(m *Machine) { m.Sound = m.ID == "m0" || m.Cell == 1 }, "shard 0 has 1 sound replicas and keeps 1"},
 		{"the fleet's share", Limits{Floor: 1, Share: 0.2}, nil, "1 of the fleet's weight of 4 would be missing; 20% may be"},
 		{"a zone's share", Limits{Floor: 1, ZoneShare: 0.4}, nil, `1 of zone "a"'s weight of 2 would be missing; 40% may be`},
+		{"not sound itself, and its shard under the floor", Limits{Floor: 2}, func(m *Machine) { m.Sound = m.Cell == 1 || m.ID == "m2" },
+			"shard 0 has 1 sound replicas and keeps 2"},
 		{"the room", Limits{Floor: 1, Room: 0.8}, func(m *Machine) { m.Util = 0.7 }, "what remains would be 93% busy; 80% may be"},
 	} {
 		f := ring(t, lay, 4, 2, c.fix)
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -16,7 +16,7 @@
 // Coordinator is what one that was ever present has said.
 type Coordinator struct {
 	Name  string
-	Seen  uint64            // State.Seen of what it has applied
+	Seen  uint64            // State.Seen of what it had applied while it was present; without presence nothing is said
 	Clear map[string]uint64 // machines with nothing out, by the turn of their drain
 	Over  bool              // its presence is over, as far as is known; the store decides as the move is taken
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -65,7 +65,8 @@
 	wg       sync.WaitGroup
 
 	mu       sync.Mutex
-	seen     uint64
+	seen     uint64 // calls that are applied here
+	said     uint64 // of them, those that were applied while present
 	clear    map[string]uint64
 	turns    map[string]uint64 // of machines that are barred
 	revision uint64            // of the plan that core goes by
@@ -126,7 +127,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.seen = r.Seen
+	s.seen, s.said = r.Seen, r.Seen
 	s.mu.Unlock()
 	s.Core.SetWork(workOf(plan))
 }
@@ -160,11 +161,11 @@
 	return plan, e.Revision, err
 }
 
-// record is what this coordinator says in the store with a campaign: what it has seen holds, what was clear does not matter.
+// record is what this coordinator says in the store.
 func (s *Steward) record() []replica.Pair {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	data, _ := json.Marshal(record{s.seen, s.clear})
+	data, _ := json.Marshal(record{s.said, s.clear})
 	return []replica.Pair{{Key: recordKey + s.Name, Value: data}}
 }
 
@@ -200,11 +201,16 @@
 		}
 	}
 	s.clear = clear
+	// Without presence a part may be out at a machine that was not called when it was sent. It is said that a call was seen only
+	// while present: then such parts end before the store holds the presence for over.
+	if s.Core.IsPresent() {
+		s.said = s.seen
+	}
 	var kept record
 	if raw := s.Store.Get(recordKey + s.Name); len(raw) == 0 || json.Unmarshal(raw, &kept) != nil {
 		return true, true
 	}
-	return kept.Seen != s.seen || !maps.Equal(kept.Clear, clear), true
+	return kept.Seen != s.said || !maps.Equal(kept.Clear, clear), true
 }
 
 // adopt takes over the plan, where it is another than the one that core goes by. The caller holds the lock.
