Explorer: every state of a small fleet whose machines go out for work, and fifteen seeded bugs

The decisions are internal/maintenance's own; the store and the leases are taken at their word. Checked: nothing is out or may be sent at a machine that is handed over, each shard keeps its floor outside work (cold ones counted as missing), and from each state the request can still end without further faults.

States now are plain values of 70 bytes, compared whole; plans have numbers, and what the decisions said is kept by what they were asked; coordinators that differ only by name are one state; all processors work on one distance at a time. A machine in hands is now a fact of the world, not read off the plan, so an operator's word written over a changed plan is found out; moves of both coordinators may be on their way at once.

One that was listed before is not one: with what was said of an earlier drain taken for this one nothing breaks, since a new drain has a new call that has to be seen first. It is left out.

--- /dev/null
+++ b/cmd/gullfall-lab/explore.go
@@ -0,0 +1,74 @@
+package main
+
+// This file owns `gullfall-lab explore`: every state of a small fleet whose machines go out for work, and the bugs that are
+// seeded into the rules to see that the explorer finds them.
+
+import (
+	"fmt"
+	"os"
+
+	"gullfall/internal/lab/explore"
+)
+
+type exploreCmd struct {
+	Machines int    `default:"2" help:"Machines that are asked for, of three."`
+	Faults   uint8  `default:"1" help:"Crashes, cuts, pauses, failing machines, duties that pass on, on one path."`
+	Words    uint8  `default:"1" help:"Operators' words on one path."`
+	Sends    uint8  `default:"1" help:"Parts sent on one path."`
+	States   int    `default:"8000000" help:"Give up beyond so many states; 450 bytes each."`
+	Bugs     bool   `help:"Seed each bug instead, and show the shortest way to what it breaks."`
+	JSON     string `name:"json" help:"Write the figures here."`
+}
+
+// Run explores.
+func (c *exploreCmd) Run() error {
+	bugs := []explore.Bug{explore.None}
+	if c.Bugs {
+		bugs = explore.Bugs
+	}
+	type result struct {
+		Bug     explore.Bug `json:"bug"`
+		States  int         `json:"states"`
+		Whole   bool        `json:"whole"`
+		Ended   int         `json:"ended"`
+		Broken  string      `json:"broken"`
+		Path    []string    `json:"path"`
+		Seconds float64     `json:"seconds"`
+	}
+	var results []result
+	missed := 0
+	for _, bug := range bugs {
+		l := explore.Limits{Machines: c.Machines, Faults: c.Faults, Words: c.Words, Sends: c.Sends, States: c.States}
+		if !c.Bugs {
+			l.Seen = func(distance, states int) { fmt.Fprintf(os.Stderr, "\r%3d events, %d states ", distance, states) }
+		}
+		r := explore.Explore(l, bug)
+		if !c.Bugs {
+			fmt.Fprintln(os.Stderr)
+		}
+		results = append(results, result{bug, r.States, r.Whole, r.Ended, r.Broken, r.Path, r.Elapsed.Seconds()})
+		if bug != explore.None {
+			fmt.Printf("%s\n", bug)
+		}
+		fmt.Printf("  %d states, %d events deep, %.1f s; all seen: %v; %d with nothing more to do\n", r.States, r.Distance, r.Elapsed.Seconds(), r.Whole, r.Ended)
+		if r.Broken != "" {
+			fmt.Printf("  broken: %s\n", r.Broken)
+			for i, what := range r.Path {
+				fmt.Printf("  %3d. %s\n", i+1, what)
+			}
+		}
+		if c.Bugs != (r.Broken != "") || !c.Bugs && !r.Whole {
+			missed++
+		}
+	}
+	if err := writeJSON(c.JSON, results); err != nil {
+		return err
+	}
+	switch {
+	case missed > 0 && c.Bugs:
+		return fmt.Errorf("%d of %d bugs were not found within these limits; give more --faults, --words or --states", missed, len(bugs))
+	case missed > 0:
+		return fmt.Errorf("a rule broke, or not all states were seen: see above")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/explore/explore_test.go
@@ -0,0 +1,38 @@
+package explore
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestNothingBreaks: within small bounds every state is seen, no rule breaks in any, and from each the request can still end.
+func TestNothingBreaks(t *testing.T) {
+	for _, l := range []Limits{
+		{Machines: 3, Sends: 2, States: 1_000_000},
+		{Machines: 2, Faults: 1, Sends: 1, States: 1_000_000},
+		{Machines: 2, Words: 2, Sends: 1, States: 1_000_000},
+	} {
+		r := Explore(l, None)
+		if r.Broken != "" || !r.Whole || r.Ended == 0 {
+			t.Errorf("%+v: %s, whole %v, ended in %d states\n%s", l, r.Broken, r.Whole, r.Ended, strings.Join(r.Path, "\n"))
+		}
+		t.Logf("%+v: %d states, %d events deep, in %v", l, r.States, r.Distance, r.Elapsed)
+	}
+}
+
+// TestBugsAreFound: each seeded bug breaks a rule within small bounds.
+func TestBugsAreFound(t *testing.T) {
+	for _, bug := range Bugs {
+		found := false
+		for _, l := range []Limits{{Machines: 2, Faults: 1, Sends: 1, States: 1_000_000}, {Machines: 2, Faults: 1, Words: 1, Sends: 1, States: 2_000_000}} {
+			r := Explore(l, bug)
+			if found = r.Broken != ""; found {
+				t.Logf("%s: %s after %d events (%d states in %v)", bug, r.Broken, len(r.Path), r.States, r.Elapsed)
+				break
+			}
+		}
+		if !found {
+			t.Errorf("not found: %s", bug)
+		}
+	}
+}
