Core: the latest word on a data node reaches the module last; users' queries go before work on machines

A first test of internal/core's part in the work on machines (TestWork, twelve cases in virtual time) found a fault: a coordinator that learns of a plan and is granted its presence within one tick sent nothing to called machines until the next change. Tick in internal/core/core.go put what workStep says (they may be used) before the list events of the same tick, which SetWork had built while they might not; the older word came last and stood. What zones and work say now follows the lists. The rule was never broken by it, since Pick looks at the presence itself; capacity was lost. The other way round queued calls were turned back.

--- a/cmd/gullfall/work.go
+++ b/cmd/gullfall/work.go
@@ -36,7 +36,7 @@
 	return steward.Start(steward.Options{Store: kept, Core: c, Name: cfg.Name, Log: log,
 		Layout: maintenance.Layout{Cells: set.Cells, Shards: set.Shards, Reach: set.Reach}, Limits: w.Limits(), Warm: set.Rules.WarmAfter,
 		Longest: longest(set), Bound: time.Duration(w.Bound), Duty: time.Duration(w.Lease), Drift: w.Drift, Every: time.Duration(w.Every),
-		Hook: w.Hook, HookFor: time.Duration(w.HookTime)})
+		Hook: w.Hook, HookFor: time.Duration(w.HookTime), Budget: w.Budget})
 }
 
 // leaveWork gives the duty back as the first thing of a drain, so that another takes it over.
--- a/internal/config/work.go
+++ b/internal/config/work.go
@@ -24,6 +24,7 @@
 	Room      float64
 	Hook      []string
 	HookTime  Span `toml:"hook_time"`
+	Budget    int  // bytes of plans that the duty's holder writes in a second
 }
 
 func (w *Work) defaults() {
@@ -36,6 +37,9 @@
 	set(&w.Lease, 10*time.Second)
 	set(&w.Every, 200*time.Millisecond)
 	set(&w.HookTime, time.Minute)
+	if w.Budget == 0 {
+		w.Budget = 1 << 20
+	}
 	if w.Drift == 0 {
 		w.Drift = 0.01
 	}
@@ -66,6 +70,9 @@
 	if time.Duration(w.Bound) < 100*time.Millisecond || time.Duration(w.Lease) < 500*time.Millisecond || time.Duration(w.Every) < 10*time.Millisecond {
 		fault("work.bound, work.lease, work.every: %v, %v and %v; 100ms, 500ms and 10ms at least", time.Duration(w.Bound), time.Duration(w.Lease), time.Duration(w.Every))
 	}
+	if w.Budget < 1024 {
+		fault("work.budget: %d; 1024 bytes a second at least", w.Budget)
+	}
 	if err := w.Limits().Check(); err != nil {
 		fault("work: floor, per_shard, at_once, share, zone_share, room: %w", err)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -327,6 +327,7 @@
 	}
 	c.mu.Unlock()
 	if full {
+		c.noRoom(q.taken)
 		return Answer{Verdict: Refused, After: c.Again()}, nil
 	}
 	inputs := []input{{ask: q}}
@@ -447,15 +448,17 @@
 			rest = append(rest, e)
 		}
 	}
-	events = append(append(lists, c.lists()...), rest...)
+	lists = append(lists, c.lists()...)
+	// After the lists, which were told before and by what held then: the latest word on a data node counts.
 	zoned, changed, zoneNext := c.zoneStep(now)
 	if changed {
-		events = append([]aggregator.Event{zoned}, events...)
+		lists = append(lists, zoned)
 	}
 	lapsed, changed, workNext := c.workStep(now)
 	if changed {
-		events = append([]aggregator.Event{lapsed}, events...)
+		lists = append(lists, lapsed)
 	}
+	events = append(lists, rest...)
 	for _, q := range c.queries {
 		if !now.Before(q.Deadline) {
 			// The module ends queries earlier; this is the backstop that no query outlives its client.
@@ -723,6 +726,9 @@
 
 // tell logs a query that ends without an answer, with the parts that it lacks and their attempts.
 func (c *Core) tell(what string, q *query, why aggregator.Why, now time.Time) {
+	if why == aggregator.Held || why == aggregator.Forecast {
+		c.noRoom(now)
+	}
 	var missing []string
 	for _, p := range q.parts {
 		if p.in {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -29,7 +29,7 @@
 
 var tick = 5 * time.Millisecond
 
-func newStand(t *testing.T, maxOpen int, act func(s *stand, o *Order)) *stand {
+func newStand(t *testing.T, maxOpen int, act func(s *stand, o *Order), first ...func(*Core)) *stand {
 	t.Helper()
 	set := aggregator.Settings{Aggregators: 1, Tick: tick, Cells: 1, Shards: 4, Reach: 1,
 		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}},
@@ -41,6 +41,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, f := range first {
+		f(c)
+	}
 	s := &stand{Core: c}
 	c.Carrier("", func(n *Node) {
 		for o := n.Pick(context.Background()); o != nil; o = n.Pick(context.Background()) {
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -30,6 +30,7 @@
 	outs    map[string]int // attempts without an end, by data node
 	seen    map[string]*seenNode
 	present atomic.Int64 // until when, by Core.clock
+	turned  atomic.Int64 // when a query was turned away for want of room last, by Core.clock; 0 for never
 	lapsed  bool         // as the module was told last
 }
 
@@ -65,6 +66,22 @@
 	c.wakeUp()
 }
 
+// pressedFor is how long users' queries go first after one was turned away: some aims, so that a burst's gaps don't count as room.
+const pressedFor = 2 * time.Second
+
+// Pressed tells whether a query was turned away for want of room just now.
+func (c *Core) Pressed() bool {
+	at := c.work.turned.Load()
+	return at > 0 && c.clock(time.Now())-time.Duration(at) < pressedFor
+}
+
+// noRoom notes that a query was turned away for want of room.
+func (c *Core) noRoom(now time.Time) {
+	if c.work != nil {
+		c.work.turned.Store(int64(c.clock(now)))
+	}
+}
+
 // IsPresent tells whether announced machines may be sent to now.
 func (c *Core) IsPresent() bool { return !c.absent() }
 
--- /dev/null
+++ b/internal/core/work_test.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestWork: what is sent to a data node that goes out for work and comes back, with and without presence, and what is told of it.
+func TestWork(t *testing.T) {
+	type told struct {
+		Query                 string // verdict of one that is asked then; empty for none
+		Quiet, Present, Press bool
+	}
+	announced := Work{Announced: map[string]bool{"n1": true}}
+	barred := Work{Announced: announced.Announced, Barred: map[string]bool{"n1": true}}
+	const served, failed = "1 true 1 false", "2 false 0 true"
+	for _, c := range []struct {
+		what   string
+		change func(s *stand)
+		want   told
+	}{
+		{"nothing is known", func(s *stand) {}, told{Query: failed}},
+		{"no plan", func(s *stand) { s.SetWork(Work{}) }, told{Query: served}},
+		{"called, and not present", func(s *stand) { s.SetWork(announced) }, told{Query: failed}},
+		{"called, and present", func(s *stand) { s.SetWork(announced); s.Present(time.Now().Add(time.Hour)) }, told{Query: served, Present: true}},
+		{"called, and present until just now", func(s *stand) {
+			s.SetWork(announced)
+			s.Present(time.Now().Add(time.Second))
+			time.Sleep(time.Second)
+		}, told{Query: failed}},
+		{"barred", func(s *stand) { s.SetWork(barred); s.Present(time.Now().Add(time.Hour)) }, told{Query: failed, Quiet: true, Present: true}},
+		{"barred by its address", func(s *stand) { s.SetWork(Work{Addrs: map[string]bool{"127.0.0.1:1": true}}) }, told{Query: failed}},
+		{"barred with a part out", func(s *stand) {
+			s.SetWork(Work{})
+			go s.ask(context.Background(), "held", 3)
+			time.Sleep(100 * time.Millisecond)
+			s.SetWork(barred)
+		}, told{}},
+		{"and once that has ended", func(s *stand) {
+			s.SetWork(Work{})
+			go s.ask(context.Background(), "held", 3)
+			time.Sleep(100 * time.Millisecond)
+			s.SetWork(barred)
+			time.Sleep(3 * time.Second)
+		}, told{Quiet: true}},
+		{"back", func(s *stand) { s.SetWork(barred); s.SetWork(Work{Back: map[string]uint64{"n1": 1}}) }, told{Query: served}},
+		{"one turned away", func(s *stand) { s.SetWork(Work{}); s.fill(true); s.ask(context.Background(), "r", 0); s.fill(false) }, told{Query: served, Press: true}},
+		{"one turned away some seconds ago", func(s *stand) {
+			s.SetWork(Work{})
+			s.fill(true)
+			s.ask(context.Background(), "r", 0)
+			s.fill(false)
+			time.Sleep(pressedFor)
+		}, told{Query: served}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStand(t, 20, func(s *stand, o *Order) {
+				if len(o.Call) > 0 && o.Call[0].ID == "held.3" {
+					return // no answer; it ends as it is given up
+				}
+				serve(s, o)
+			}, (*Core).WatchWork)
+			s.fleet.Replace([]Member{{ID: "n1", Addr: "127.0.0.1:1"}}, false)
+			time.Sleep(10 * tick)
+			c.change(s)
+			time.Sleep(10 * tick)
+			got := told{Quiet: s.Quiet("n1"), Present: s.IsPresent(), Press: s.Pressed()}
+			if c.want.Query != "" {
+				got.Query = s.ask(t.Context(), "q", 0)
+			}
+			if d := cmp.Diff(c.want, got); d != "" {
+				t.Errorf("%s (-want +got)\n%s", c.what, d)
+			}
+			s.end()
+		})
+	}
+}
+
+// fill has as much open as the settings allow, or no longer.
+func (s *stand) fill(full bool) {
+	s.Core.mu.Lock()
+	defer s.Core.mu.Unlock()
+	if full {
+		s.pending += 20
+	} else {
+		s.pending -= 20
+	}
+}
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -19,8 +19,8 @@
 //
 // Coordinators send to a machine that is waiting, returning, warm, done or abandoned, and to no other.
 //
-// A waiting machine is called before it is drained: where the request is open, no hour is barred and the limits hold with it
-// and all else that is called out. From then on a coordinator may send to it only while it holds its presence, a lease that the
+// A waiting machine is called before it is drained: where the request is open, no hour is barred, no user's query was turned
+// away for want of room just now, and the limits hold with it and all else that is called out. From then on a coordinator may send to it only while it holds its presence, a lease that the
 // store grants (internal/lease). The coordinator's own count of that ends before the store's does, by the longest time of an
 // attempt, so once the store holds the presence for over, nothing of one that has seen the call is out at the machine. One that
 // has not seen it is waited for, since it does not know which machine that is. Who is cut off from the store, or all should the
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -304,6 +304,17 @@
 			p.clear(0)
 			p.v.Coordinators[1].Over, p.v.Coordinators[1].Seen = true, 0
 		}, "m0 draining", "m0: n1 has not said that nothing is out there"},
+		{"users' queries are turned away, with one machine begun", Request{AtOnce: 2}, []string{"m0", "m1", "m2"}, func(p *play) {
+			p.step(0)
+			p.v.Pressed = true
+			p.clear(0, 1)
+			p.step(0)
+			p.step(0)
+			p.v.Fleet = p.f(func(m *Machine) { m.Started = 7 })
+			for range 4 {
+				p.step(0)
+			}
+		}, "m0 done, m1 done, m2 waiting", "m2: users' queries were turned away"},
 		{"called, and a shard at its floor before it is drained", Request{}, []string{"m0"}, func(p *play) {
 			p.v.Limits.Floor = 2
 			p.v.Fleet = p.f(failing("m2"))
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -29,6 +29,7 @@
 	Limits       Limits
 	Warm         time.Duration // that a cold data node needs
 	Coordinators []Coordinator
+	Pressed      bool              // users' queries were turned away for want of room just now: they go first
 	Told         map[string]uint64 // warm machines of which the hook was told, by their turn; nil where there is no hook
 }
 
@@ -253,7 +254,10 @@
 			break
 		}
 		m, hold := v.Fleet.Machine(st.Machine), "it is not listed"
-		if m != nil {
+		switch {
+		case v.Pressed:
+			hold = "users' queries were turned away for want of room just now, and go first"
+		case m != nil:
 			hold = o.fits(m)
 		}
 		if hold != "" {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"gullfall/internal/core"
 	"gullfall/internal/lease"
 	"gullfall/internal/maintenance"
@@ -47,6 +49,7 @@
 	Every   time.Duration // between looks at the plan while the duty is held
 	Hook    []string      // called with out or done and the machine; none while empty
 	HookFor time.Duration // longest that the hook may take
+	Budget  int           // bytes of plans that the holder writes in a second
 }
 
 // record is what a coordinator says in the store.
@@ -59,6 +62,7 @@
 type Steward struct {
 	Options
 	start    time.Time
+	budget   *rate.Limiter
 	duty     *store.Lease
 	presence *store.Lease
 	stop     context.CancelFunc
@@ -91,7 +95,7 @@
 // Start takes part from now on. Core must have been told WatchWork.
 func Start(o Options) *Steward {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Steward{Options: o, start: time.Now(), stop: stop, clear: map[string]uint64{}, told: map[string]uint64{}, handed: map[string]uint64{},
+	s := &Steward{Options: o, start: time.Now(), budget: rate.NewLimiter(rate.Limit(o.Budget), o.Budget), stop: stop, clear: map[string]uint64{}, told: map[string]uint64{}, handed: map[string]uint64{},
 		calls: map[string]bool{}, retryAt: map[string]time.Time{}, renewals: map[string]renewal{}}
 	// The presence ends here by the longest attempt before it ends in the store: what was begun until then has its end.
 	own := lease.Config{Length: time.Duration(float64(o.Bound+o.Longest)*(1+o.Drift)/(1-o.Drift)) + time.Millisecond, Drift: o.Drift, Renew: 0.2}
@@ -202,8 +206,9 @@
 	}
 	s.clear = clear
 	// Without presence a part may be out at a machine that was not called when it was sent. It is said that a call was seen only
-	// while present: then such parts end before the store holds the presence for over.
-	if s.Core.IsPresent() {
+	// while present: then such parts end before the store holds the presence for over. Nor is it said while the disk may hold an
+	// older plan: after a restart that would be gone by, and what was called since would be sent to without presence.
+	if s.Core.IsPresent() && (!s.Store.Lasting() || s.Store.Kept()) {
 		s.said = s.seen
 	}
 	var kept record
@@ -349,13 +354,17 @@
 	if err != nil {
 		return err
 	}
-	v := &maintenance.View{Now: time.Since(s.start), Wall: time.Now(), Fleet: fleet, Limits: s.Limits, Warm: s.Warm, Coordinators: s.coordinators()}
+	v := &maintenance.View{Now: time.Since(s.start), Wall: time.Now(), Fleet: fleet, Limits: s.Limits, Warm: s.Warm, Coordinators: s.coordinators(),
+		Pressed: s.Core.Pressed()}
 	if len(s.Hook) > 0 {
 		s.mu.Lock()
 		v.Told = maps.Clone(s.told)
 		s.mu.Unlock()
 	}
 	s.hooks(ctx, plan)
+	if s.budget.TokensAt(time.Now()) < 0 { // the last plan was written beyond it
+		return nil
+	}
 	moves, changed := plan.Step(v, timer)
 	if !changed {
 		return nil
@@ -368,6 +377,9 @@
 	if !ok {
 		return nil
 	}
+	for left, now := len(data), time.Now(); left > 0; left -= s.Budget {
+		s.budget.ReserveN(now, min(left, s.Budget))
+	}
 	c := replica.Command{If: []replica.Cond{{Key: planKey, Revision: revision}, {Duty: maintenance.Duty, Token: token}},
 		Put: []replica.Pair{{Key: planKey, Value: data}}}
 	for _, m := range moves {
--- a/internal/store/machine.go
+++ b/internal/store/machine.go
@@ -43,8 +43,10 @@
 	m.changed = make(chan struct{})
 }
 
+// keep takes in what came of a write. The caller holds the lock.
 func (m *machine) keep(err error) {
 	if err != nil {
+		m.torn = true
 		m.log.Error("store can't be written", "cause", err)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -48,6 +48,7 @@
 
 	mu      sync.Mutex
 	state   *replica.State
+	torn    bool              // a write to the disk has failed: what is there may be older than what is applied
 	boot    map[string][]byte // as this member had applied it before its start, up to bootAt
 	bootAt  uint64
 	want    map[string][]byte // to be written, the latest of each key
@@ -162,9 +163,16 @@
 	return s.changed
 }
 
-// Lasting tells whether what this member applies is still there after a restart.
+// Lasting tells whether what this member applies is meant to be there after a restart.
 func (s *Store) Lasting() bool { return s.disk != nil }
 
+// Kept tells whether it will be: false once a write to the disk has failed, until the next start.
+func (s *Store) Kept() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.torn
+}
+
 // Put hands over a value and returns at once. The leader writes what all share; a key that ends with a member's name is that
 // member's own, and is written from wherever it is.
 func (s *Store) Put(key string, value []byte) {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -71,6 +71,34 @@
 	}
 }
 
+// TestTornDisk: a member that could not write what it applied says so, and goes on.
+func TestTornDisk(t *testing.T) {
+	s := open(t, config.Store{Directory: t.TempDir()}, "n0")
+	defer s.Close()
+	s.Put(Members, []byte("list"))
+	until(t, s, Members, "list")
+	if !s.Lasting() || !s.Kept() {
+		t.Fatal("nothing failed yet")
+	}
+	closed, err := openDisk(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.db.Close()
+	s.mu.Lock()
+	whole := s.disk
+	s.disk = closed // its log stays with the first
+	s.mu.Unlock()
+	s.Put(Members, []byte("list 2"))
+	until(t, s, Members, "list 2")
+	if s.Kept() {
+		t.Error("a write failed, and what is applied counts as kept")
+	}
+	s.mu.Lock()
+	s.disk = whole
+	s.mu.Unlock()
+}
+
 // TestRestoredAtStart: what a member held on disk can be read as soon as it is opened, before any election.
 func TestRestoredAtStart(t *testing.T) {
 	cfg := config.Store{Directory: t.TempDir()}
