--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -19,6 +19,7 @@
 	Dnssd   dnssdCmd   `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
 	Fleet   fleetCmd   `cmd:"" help:"Count what all coordinators of a played day have logged: how queries ended badly, over the fleet and over time."`
 	Peers   peersCmd   `cmd:"" help:"Coordinators that watch each other: stalls, kills, lost packets, cuts one way and both; or --sizes in virtual time."`
+	Plan    planCmd    `cmd:"" help:"Orders in which machines go out for work, against the least there can be, zone by zone and one by one."`
 	Work    workCmd    `cmd:"" help:"Take machines out for work by several coordinators among kills, stalls and cuts, and check that nothing is sent there."`
 	Zones   zonesCmd   `cmd:"" help:"Take a zone away from several coordinators and give it back: leaving, losses, twins and the cold bound, by data node and by zone."`
 }
--- /dev/null
+++ b/cmd/gullfall-lab/plan.go
@@ -0,0 +1,44 @@
+package main
+
+// This file owns `gullfall-lab plan`: how good the orders are in which machines go out for work, at several sizes, against what
+// is done by hand.
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"gullfall/internal/lab/workplan"
+)
+
+type planCmd struct {
+	Sizes  []int  `default:"20,100,1000,10000" help:"Machines of a fleet."`
+	Fleets int    `default:"10" help:"Fleets drawn at each size."`
+	Seed   uint64 `default:"1" help:"Settles the fleets and the orders tried."`
+	JSON   string `name:"json" help:"Write the figures here."`
+}
+
+// Run measures.
+func (c *planCmd) Run() error {
+	var rows []workplan.Row
+	broken := 0
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "machines\tfleets\twaves\tat least\tworst gap\tproven\tplanned in, worst\tzone by zone\tone by one\tsooner than zone by zone")
+	for _, n := range c.Sizes {
+		r, err := workplan.Measure(n, c.Fleets, c.Seed)
+		if err != nil {
+			return err
+		}
+		rows, broken = append(rows, r), broken+r.Broken
+		fmt.Fprintf(t, "%d\t%d\t%.1f\t%.1f\t%.0f%%\t%d\t%.1f ms\t%.1f\t%.1f\t%.2f-fold\n", r.Machines, r.Fleets, r.Waves, r.Bound, 100*r.WorstGap, r.Exact, r.PlanMS,
+			r.ZoneByZone, r.OneByOne, r.Sooner)
+		t.Flush()
+	}
+	if err := writeJSON(c.JSON, rows); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d orders break a limit", broken)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/workplan/workplan.go
@@ -0,0 +1,105 @@
+// Package workplan measures the order in which machines go out for work: how many waves it has against the least there can be,
+// what it takes to find, and how much sooner a fleet is done by it than one machine at a time or zone by zone. It makes the
+// fleets; the orders are internal/maintenance's. It must never leave a limit out for one of the ways that it compares.
+package workplan
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gullfall/internal/maintenance"
+)
+
+// Row is what was measured of fleets of one size.
+type Row struct {
+	Machines   int     `json:"machines"`
+	Fleets     int     `json:"fleets"`
+	Waves      float64 `json:"waves"`        // mean
+	Bound      float64 `json:"bound"`        // mean; no order has fewer
+	WorstGap   float64 `json:"worst_gap"`    // waves over the bound, less one, of the worst fleet
+	Exact      int     `json:"exact"`        // fleets of which the order is proven to be as short as can be
+	PlanMS     float64 `json:"plan_ms"`      // worst
+	OneByOne   float64 `json:"one_by_one"`   // waves, mean
+	ZoneByZone float64 `json:"zone_by_zone"` // waves, mean: each zone's machines by first fit in the order of the list
+	Sooner     float64 `json:"sooner"`       // zone by zone over waves
+	Broken     int     `json:"broken"`       // orders of which a wave breaks a limit
+}
+
+// zones of each fleet.
+const zones = 3
+
+// draw makes a fleet: shards held by three neighbouring cells, machines of three models dealt out over cells and zones, one in
+// thirty not sound, all as busy as the seed says.
+func draw(n int, chance *rand.Rand) (*maintenance.Fleet, maintenance.Limits, []string, error) {
+	cells := max(4, n/6)
+	var list []maintenance.Machine
+	var ids []string
+	busy := 0.2 + 0.4*chance.Float64()
+	for i := range n {
+		m := maintenance.Machine{ID: fmt.Sprint("m", i), Addr: fmt.Sprint("m", i), Cell: i % cells, Zone: string(rune('a' + (i/cells+i)%zones)),
+			Weight: []float64{1, 1, 2, 0.7}[chance.IntN(4)], Serving: true, Sound: chance.IntN(30) > 0, Util: busy * (0.8 + 0.4*chance.Float64()), Started: 1}
+		list, ids = append(list, m), append(ids, m.ID)
+	}
+	chance.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	f, err := maintenance.NewFleet(maintenance.Layout{Cells: cells, Shards: cells, Reach: 3}, list)
+	return f, maintenance.Limits{Floor: 1 + int((0.3+0.3*chance.Float64())*float64(3*(n/cells))), Share: 0.25 + 0.25*chance.Float64(), ZoneShare: 0.5, Room: 0.85}, ids, err
+}
+
+// Measure plans a number of fleets of one size.
+func Measure(machines, fleets int, seed uint64) (r Row, err error) {
+	r.Machines, r.Fleets = machines, fleets
+	chance := rand.New(rand.NewPCG(seed, uint64(machines)))
+	for range fleets {
+		f, l, ids, err := draw(machines, chance)
+		if err != nil {
+			return r, err
+		}
+		begun := time.Now()
+		p := f.Plan(ids, l, seed)
+		r.PlanMS = max(r.PlanMS, float64(time.Since(begun).Microseconds())/1000)
+		if len(p.Waves) == 0 {
+			return r, fmt.Errorf("of %d machines none can go: %v", machines, p.Refused[0])
+		}
+		if f.Breaks(p.Waves, l) != nil {
+			r.Broken++
+		}
+		var going []string
+		for _, w := range p.Waves {
+			going = append(going, w...)
+		}
+		zone := zoneByZone(f, l, going)
+		if f.Breaks(zone, l) != nil {
+			r.Broken++
+		}
+		r.Waves += float64(len(p.Waves)) / float64(fleets)
+		r.Bound += float64(p.Bound) / float64(fleets)
+		r.OneByOne += float64(len(going)) / float64(fleets)
+		r.ZoneByZone += float64(len(zone)) / float64(fleets)
+		r.WorstGap = max(r.WorstGap, float64(len(p.Waves))/float64(p.Bound)-1)
+		if p.Exact {
+			r.Exact++
+		}
+	}
+	r.Sooner = r.ZoneByZone / r.Waves
+	return r, nil
+}
+
+// zoneByZone is what is done by hand: one zone after the other, in each the machines as the list names them, as many at once as
+// the limits let.
+func zoneByZone(f *maintenance.Fleet, l maintenance.Limits, ids []string) (waves [][]string) {
+	ids = slices.Clone(ids)
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(f.Machine(a).Zone, f.Machine(b).Zone), cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+	})
+	var wave []string
+	for _, id := range ids {
+		if len(wave) > 0 && (f.Machine(wave[0]).Zone != f.Machine(id).Zone || f.Breaks([][]string{append(slices.Clip(wave), id)}, l) != nil) {
+			waves, wave = append(waves, wave), nil
+		}
+		wave = append(wave, id)
+	}
+	return append(waves, wave)
+}
--- a/internal/maintenance/fleet.go
+++ b/internal/maintenance/fleet.go
@@ -21,6 +21,7 @@
 	Sound          bool    // serving, not cold since its start or its return from work, not doubtful, its zone does not fail
 	Util           float64 // how busy it is, 0 to 1; 0 where not known
 	Started        int64   // of its process, Unix milliseconds; 0 where not known
+	zone           int     // its place among the zones of the fleet
 }
 
 // Limits are hard: no order and no move breaks one.
@@ -50,7 +51,7 @@
 	sound    []int   // sound replicas by shard
 	total    float64 // weight
 	missing  float64 // weight that is not sound
-	zones    map[string]*weights
+	zones    []weights
 	busy     float64 // weight times utilisation
 }
 
@@ -61,8 +62,8 @@
 	if lay.Cells < 1 || lay.Shards < 1 || lay.Reach < 1 || lay.Reach > lay.Cells {
 		return nil, fmt.Errorf("maintenance: %d cells, %d shards, reach %d: each is 1 at least, the reach no more than the cells", lay.Cells, lay.Shards, lay.Reach)
 	}
-	f := &Fleet{Layout: lay, Machines: machines, byID: map[string]*Machine{}, held: make([][]int, lay.Cells), sound: make([]int, lay.Shards),
-		zones: map[string]*weights{}}
+	f := &Fleet{Layout: lay, Machines: machines, byID: map[string]*Machine{}, held: make([][]int, lay.Cells), sound: make([]int, lay.Shards)}
+	zones := map[string]int{}
 	for s := range lay.Shards {
 		for i := range lay.Reach {
 			cell := (s + i) % lay.Cells
@@ -75,11 +76,13 @@
 			return nil, fmt.Errorf("maintenance: machine %s is of cell %d; there are %d", m.ID, m.Cell, lay.Cells)
 		}
 		f.byID[m.ID] = m
-		z := f.zones[m.Zone]
-		if z == nil {
-			z = &weights{}
-			f.zones[m.Zone] = z
+		at, known := zones[m.Zone]
+		if !known {
+			at = len(f.zones)
+			zones[m.Zone], f.zones = at, append(f.zones, weights{})
 		}
+		m.zone = at
+		z := &f.zones[at]
 		f.total += m.Weight
 		z.total += m.Weight
 		if !m.Sound {
@@ -103,44 +106,81 @@
 	f       *Fleet
 	l       Limits
 	n       int
-	missing float64 // weight beyond what is not sound anyway
-	zones   map[string]float64
-	inWork  map[int]int // machines by shard
-	sound   map[int]int // of them, those that were sound
+	missing float64   // weight beyond what is not sound anyway
+	zones   []float64 // of it, by zone
+	inWork  []int     // machines by shard
+	sound   []int     // of them, those that were sound
 }
 
 func (f *Fleet) none(l Limits) *out {
-	return &out{f: f, l: l, zones: map[string]float64{}, inWork: map[int]int{}, sound: map[int]int{}}
+	return &out{f: f, l: l, zones: make([]float64, len(f.zones)), inWork: make([]int, f.Shards), sound: make([]int, f.Shards)}
 }
 
 // slack is what rounding of weights may miss.
 const slack = 1e-9
 
-// fits tells why a machine can't be out beside those that are; empty where it can. It is monotone: what does not fit
-// beside a set does not fit beside a larger one.
-func (o *out) fits(m *Machine) string {
+// hold is the limit that keeps a machine in.
+type hold struct {
+	limit uint8 // 0 for none
+	shard int
+}
+
+const (
+	byNumber = 1 + iota
+	byFloor
+	byPerShard
+	byShare
+	byZone
+	byRoom
+)
+
+// check tells which limit keeps a machine from being out beside those that are. It is monotone: what does not fit beside a set
+// does not fit beside a larger one.
+func (o *out) check(m *Machine) hold {
 	if o.l.AtOnce > 0 && o.n >= o.l.AtOnce {
-		return fmt.Sprintf("%d machines are in work, as many as may be at once", o.n)
+		return hold{byNumber, 0}
 	}
 	for _, s := range o.f.held[m.Cell] {
 		// One that is not sound takes nothing away, but where others are missing it may be all that comes back soon.
 		if left := o.f.sound[s] - o.sound[s]; left < o.l.Floor || m.Sound && left == o.l.Floor {
-			return fmt.Sprintf("shard %d has %d sound replicas and keeps %d", s, left, o.l.Floor)
+			return hold{byFloor, s}
 		}
 		if o.l.PerShard > 0 && o.inWork[s] >= o.l.PerShard {
-			return fmt.Sprintf("shard %d has %d replicas in work, as many as may be at once", s, o.inWork[s])
+			return hold{byPerShard, s}
 		}
 	}
 	if !m.Sound {
-		return ""
+		return hold{}
 	}
-	if gone := o.f.missing + o.missing + m.Weight; o.l.Share > 0 && gone > o.l.Share*o.f.total+slack {
-		return fmt.Sprintf("%.3g of the fleet's weight of %.3g would be missing; %.0f%% may be", gone, o.f.total, 100*o.l.Share)
+	if o.l.Share > 0 && o.f.missing+o.missing+m.Weight > o.l.Share*o.f.total+slack {
+		return hold{byShare, 0}
 	}
-	if z := o.f.zones[m.Zone]; o.l.ZoneShare > 0 && z.missing+o.zones[m.Zone]+m.Weight > o.l.ZoneShare*z.total+slack {
-		return fmt.Sprintf("%.3g of zone %q's weight of %.3g would be missing; %.0f%% may be", z.missing+o.zones[m.Zone]+m.Weight, m.Zone, z.total, 100*o.l.ZoneShare)
+	if z := &o.f.zones[m.zone]; o.l.ZoneShare > 0 && z.missing+o.zones[m.zone]+m.Weight > o.l.ZoneShare*z.total+slack {
+		return hold{byZone, 0}
 	}
-	if left := o.f.total - o.f.missing - o.missing - m.Weight; o.l.Room > 0 && o.f.busy > o.l.Room*left+slack {
+	if o.l.Room > 0 && o.f.busy > o.l.Room*(o.f.total-o.f.missing-o.missing-m.Weight)+slack {
+		return hold{byRoom, 0}
+	}
+	return hold{}
+}
+
+// fits tells in words why a machine can't be out beside those that are; empty where it can.
+func (o *out) fits(m *Machine) string {
+	h := o.check(m)
+	switch h.limit {
+	case byNumber:
+		return fmt.Sprintf("%d machines are in work, as many as may be at once", o.n)
+	case byFloor:
+		return fmt.Sprintf("shard %d has %d sound replicas and keeps %d", h.shard, o.f.sound[h.shard]-o.sound[h.shard], o.l.Floor)
+	case byPerShard:
+		return fmt.Sprintf("shard %d has %d replicas in work, as many as may be at once", h.shard, o.inWork[h.shard])
+	case byShare:
+		return fmt.Sprintf("%.3g of the fleet's weight of %.3g would be missing; %.0f%% may be", o.f.missing+o.missing+m.Weight, o.f.total, 100*o.l.Share)
+	case byZone:
+		z := &o.f.zones[m.zone]
+		return fmt.Sprintf("%.3g of zone %q's weight of %.3g would be missing; %.0f%% may be", z.missing+o.zones[m.zone]+m.Weight, m.Zone, z.total, 100*o.l.ZoneShare)
+	case byRoom:
+		left := o.f.total - o.f.missing - o.missing - m.Weight
 		return fmt.Sprintf("what remains would be %.0f%% busy; %.0f%% may be", 100*o.f.busy/max(left, slack), 100*o.l.Room)
 	}
 	return ""
@@ -157,7 +197,7 @@
 	}
 	if m.Sound {
 		o.missing += float64(by) * m.Weight
-		o.zones[m.Zone] += float64(by) * m.Weight
+		o.zones[m.zone] += float64(by) * m.Weight
 	}
 }
 
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -37,7 +37,7 @@
 func (f *Fleet) Plan(ids []string, l Limits, seed uint64) Plan {
 	var p Plan
 	var list []*Machine
-	seen := map[string]bool{}
+	seen, nobody := map[string]bool{}, f.none(l)
 	for _, id := range ids {
 		m := f.byID[id]
 		switch {
@@ -46,7 +46,7 @@
 		case m == nil:
 			p.Refused = append(p.Refused, Refusal{id, "no data node of this name is listed"})
 		default:
-			if why := f.none(l).fits(m); why != "" {
+			if why := nobody.fits(m); why != "" {
 				p.Refused = append(p.Refused, Refusal{id, why})
 			} else {
 				list = append(list, m)
@@ -105,7 +105,7 @@
 // bound is how many waves there are at least: by each shard, by the number, and by the weights of the fleet and each zone.
 func (f *Fleet) bound(list []*Machine, l Limits) int {
 	most, sound, all := 1, map[int]int{}, map[int]int{}
-	weight, zones := 0.0, map[string]float64{}
+	weight, zones := 0.0, map[int]float64{}
 	for _, m := range list {
 		for _, s := range f.held[m.Cell] {
 			all[s]++
@@ -115,7 +115,7 @@
 		}
 		if m.Sound {
 			weight += m.Weight
-			zones[m.Zone] += m.Weight
+			zones[m.zone] += m.Weight
 		}
 	}
 	for s, n := range all {
@@ -155,7 +155,7 @@
 	for _, m := range list {
 		i := first
 		for ; i < len(sets); i++ {
-			if sets[i].fits(m) == "" {
+			if sets[i].check(m).limit == 0 {
 				break
 			}
 			if i == first && l.AtOnce > 0 && sets[i].n >= l.AtOnce {
@@ -173,7 +173,7 @@
 
 // search tries all orders of fewer waves than the best, by branch and bound, and tells whether it got through.
 func (f *Fleet) search(list []*Machine, l Limits, bound int, best [][]*Machine) ([][]*Machine, bool) {
-	// Who shares most with others first: dead ends are met early.
+	// Who shares most with others first: dead ends are met early. Machines that are alike stand together.
 	list = slices.Clone(list)
 	shares := map[*Machine]int{}
 	for _, m := range list {
@@ -183,26 +183,54 @@
 			}
 		}
 	}
+	alike := func(a, b *Machine) bool {
+		return a.Cell == b.Cell && a.Weight == b.Weight && a.zone == b.zone && a.Sound == b.Sound
+	}
 	slices.SortStableFunc(list, func(a, b *Machine) int {
-		return cmp.Or(cmp.Compare(shares[b], shares[a]), cmp.Compare(b.Weight, a.Weight))
+		return cmp.Or(cmp.Compare(shares[b], shares[a]), cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Cell, b.Cell), cmp.Compare(a.zone, b.zone))
 	})
+	// What is still to be placed must find room by the fleet's share: its weight, and the least of a machine from each place on.
+	room := math.Inf(1)
+	if l.Share > 0 {
+		room = l.Share*f.total - f.missing + slack
+	}
+	rest, least := make([]float64, len(list)+1), make([]float64, len(list)+1)
+	least[len(list)] = math.Inf(1)
+	for i, m := range slices.Backward(list) {
+		if rest[i], least[i] = rest[i+1], least[i+1]; m.Sound {
+			rest[i], least[i] = rest[i]+m.Weight, min(least[i], m.Weight)
+		}
+	}
 	nodes := 0
 	for k := bound; k < len(best); k++ {
 		sets := make([]*out, k)
 		for i := range sets {
 			sets[i] = f.none(l)
 		}
+		hopeless := func(i int) bool {
+			left := 0.0
+			for _, o := range sets {
+				if free := room - o.missing; free >= least[i] {
+					left += free
+				}
+			}
+			return left < rest[i]
+		}
 		where := make([]int, len(list))
 		var place func(i, used int) bool
 		place = func(i, used int) bool {
 			if i == len(list) {
 				return true
 			}
-			if nodes++; nodes > mostNodes {
+			if nodes++; nodes > mostNodes || hopeless(i) {
 				return false
 			}
-			for w := range min(used+1, k) { // empty waves are alike
-				if sets[w].fits(list[i]) != "" {
+			first := 0
+			if i > 0 && alike(list[i], list[i-1]) { // which of two that are alike goes sooner is one
+				first = where[i-1]
+			}
+			for w := first; w < min(used+1, k); w++ { // empty waves are alike
+				if sets[w].check(list[i]).limit != 0 {
 					continue
 				}
 				sets[w].put(list[i], 1)
