Store: members join, get a vote and are taken out by an operator's word; the dead are proposed

- store.Change: a learner is added, gets its vote once it has itself caught up (it syncs first, so nobody else can say so), and who is gone for good is removed; forwarded to the leader, made once, refused with the reason (TestMembersChange).
- gullfall store, store add|vote|remove.
`peers forget` says so where one is still a member.
- Heartbeats, a baseline, are played for thousands by some of the watchers: all pairs are alike.

--- a/cmd/gullfall-lab/peers.go
+++ b/cmd/gullfall-lab/peers.go
@@ -304,8 +304,8 @@
 		}
 		for _, loss := range []float64{0, 0.1, 0.2, 0.4} {
 			for _, detect := range []string{"swim", "plain", "heartbeat"} {
-				if p.Curve || detect == "heartbeat" && n > 300 || loss > 0 && loss != 0.2 && n > 300 {
-					continue // n*n packets a second; and time
+				if p.Curve || loss > 0 && loss != 0.2 && n > 300 {
+					continue // time
 				}
 				if err := one(n, loss, detect, 3*time.Second); err != nil {
 					return err
@@ -323,7 +323,13 @@
 
 func (p *peersCmd) size(n int, loss float64, detect string, bear time.Duration) (row sizeRow, err error) {
 	row = sizeRow{Members: n, Detect: detect, Loss: loss, BearS: bear.Seconds()}
-	f, err := peersim.New(peersim.Config{Members: n, Seed: p.Seed, Detect: detect, Fixed: 5 * time.Second, Delay: 2 * time.Millisecond,
+	// Heartbeats of all to all: beyond 300 members only some watch, and what is counted of them stands for all.
+	watchers, stands := n, 1.0
+	if detect == "heartbeat" && n > 300 {
+		watchers = 90_000 / n
+		stands = float64(n) / float64(watchers)
+	}
+	f, err := peersim.New(peersim.Config{Members: n, Watchers: watchers, Seed: p.Seed, Detect: detect, Fixed: 5 * time.Second, Delay: 2 * time.Millisecond,
 		Jitter: 5 * time.Millisecond, Swim: swim.Config{Period: time.Second, Bear: bear}})
 	if err != nil {
 		return row, err
@@ -339,8 +345,8 @@
 		f.Run(f.Now() + 10*time.Second)
 	}
 	span := (f.Now() - from).Seconds()
-	row.FalseDead = f.FalseDead - before
-	row.PacketsS, row.BytesS = float64(f.Packets-packets)/span/float64(n), float64(f.Bytes-bytes)/span/float64(n)
+	row.FalseDead = int(float64(f.FalseDead-before) * stands)
+	row.PacketsS, row.BytesS = float64(f.Packets-packets)/span/float64(n)*stands, float64(f.Bytes-bytes)/span/float64(n)*stands
 	var half, all []time.Duration
 	for k := range min(3, n/3) {
 		h, a, _ := f.Detection(n-1-k, 3*time.Minute)
--- a/cmd/gullfall/peers.go
+++ b/cmd/gullfall/peers.go
@@ -100,9 +100,10 @@
 }
 
 // commandsOf are the commands that the parts which are on serve.
-func commandsOf(talk *gossip.Gossip, work *steward.Steward) map[string]admin.Command {
+func commandsOf(talk *gossip.Gossip, work *steward.Steward, kept *store.Store) map[string]admin.Command {
 	commands := map[string]admin.Command{}
 	workCommands(commands, work)
+	storeCommands(commands, kept, talk)
 	if talk == nil {
 		return commands
 	}
@@ -129,10 +130,13 @@
 				err = fmt.Errorf("%q is %v; only one that is dead can be gone for good", name, state)
 			}
 		})
-		if err == nil {
-			talk.Forget(name)
+		if err != nil {
+			return nil, err
 		}
-		return name, err
+		talk.Forget(name)
+		f := forgotten{Name: name}
+		_, f.Member = kept.Status().Peers[name]
+		return f, nil
 	}
 	return commands
 }
@@ -255,6 +259,12 @@
 	return t.Flush()
 }
 
+// forgotten is what comes of a forget.
+type forgotten struct {
+	Name   string
+	Member bool // of the store, still
+}
+
 type peersForgetCmd struct {
 	socketFlag
 	Name string `arg:"" help:"The dead coordinator's name."`
@@ -268,10 +278,13 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(5*time.Second))
 	defer cancel()
-	var name string
-	if err := admin.Call(ctx, path, "peers forget", p.Name, &name); err != nil {
+	var f forgotten
+	if err := admin.Call(ctx, path, "peers forget", p.Name, &f); err != nil {
 		return err
 	}
-	fmt.Printf("%s is gone for good; the others hear of it within some periods\n", name)
+	fmt.Printf("%s is gone for good; the others hear of it within some periods\n", f.Name)
+	if f.Member {
+		fmt.Printf("it is still a member of the store; to take it out: gullfall store remove %s\n", f.Name)
+	}
 	return nil
 }
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -135,7 +135,7 @@
 	work := startWork(deploy, cfg, c, kept, log)
 	var operators *admin.Server
 	if deploy.Admin.Socket != "" {
-		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk, work), log); err != nil {
+		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk, work, kept), log); err != nil {
 			return err
 		}
 		defer operators.Close()
--- a/internal/lab/fleet/work.go
+++ b/internal/lab/fleet/work.go
@@ -25,6 +25,7 @@
 	"gullfall/internal/lab/proxy"
 	"gullfall/internal/maintenance"
 	"gullfall/internal/steward"
+	"gullfall/internal/store"
 )
 
 // The layout of the lab's works: each zone holds every cell where it has four data nodes.
@@ -328,6 +329,17 @@
 	return admin.Call(ctx, w.socket(i), "work order", map[string]any{"By": "lab", "Word": word, "Request": request}, &id)
 }
 
+// Forget says at a coordinator that another is gone for good, to the work and to the store.
+func (w *Works) Forget(ctx context.Context, i int, name string) error {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(10*time.Second))
+	defer cancel()
+	var said string
+	if err := admin.Call(ctx, w.socket(i), "work forget", map[string]any{"By": "lab", "Name": name}, &said); err != nil {
+		return err
+	}
+	return admin.Call(ctx, w.socket(i), "store change", store.MemberChange{What: store.Remove, Name: name}, &said)
+}
+
 // Look is the work as a coordinator knows it; asked of the store's leader first where fresh is set.
 func (w *Works) Look(ctx context.Context, i int, fresh bool) (v steward.View, err error) {
 	within := time.Second
--- a/internal/lab/fleet/work_test.go
+++ b/internal/lab/fleet/work_test.go
@@ -117,6 +117,18 @@
 	}
 	until("the fourth request is done", done(fourth.Request))
 
+	// One that is gone for good is waited for until an operator says so; then the work goes on without it, and the store has
+	// four members. It is refused while that one may still send.
+	if err := w.Forget(ctx, 0, fleet.PeerName(4)); err == nil {
+		t.Error("one that is present was forgotten")
+	}
+	must(w.Kill(4))
+	fifth, err := w.Ask(ctx, 0, steward.Ask{By: "e", Machines: []string{"a-1"}, Takes: 20 * time.Second, Back: 20 * time.Second})
+	must(err)
+	until("the one that is killed is gone for good", func(steward.View) bool { return w.Forget(ctx, 0, fleet.PeerName(4)) == nil })
+	until("the fifth request is done", done(fifth.Request))
+	until("the store has four members", func(v steward.View) bool { return len(v.Store.Peers) == 4 })
+
 	w.EndLoad()
 	f, clean := w.Verdict(), w.Clean()
 	if f.SentWhileOut+f.FloorBroken+f.TwoOrders > 0 || len(f.Said) > 0 || f.HandedOver < 13 {
--- a/internal/lab/peersim/peersim.go
+++ b/internal/lab/peersim/peersim.go
@@ -21,10 +21,13 @@
 	Swim    swim.Config // figures; names, addresses and seeds are set here
 	Detect  string      // "swim", "plain" (no local health, no silence figure), "heartbeat" (all to all, a fixed time)
 	Fixed   time.Duration
-	Loss    float64 // of each packet
-	Twice   float64 // of packets that come twice
-	Delay   time.Duration
-	Jitter  time.Duration // on top, drawn for each packet: what goes later may come sooner
+	// Watchers, above 0, are how many of the members watch the others by heartbeats: pairs are alike, and n*n packets a period are
+	// more than can be played for thousands. What is counted is then of these alone.
+	Watchers int
+	Loss     float64 // of each packet
+	Twice    float64 // of packets that come twice
+	Delay    time.Duration
+	Jitter   time.Duration // on top, drawn for each packet: what goes later may come sooner
 }
 
 // detector is one member's part: swim, or a baseline.
@@ -72,6 +75,7 @@
 	up     bool
 	paused time.Duration // until then
 	held   []any         // came while it was paused
+	skew   time.Duration // of its clock, by jumps
 	wakeAt time.Duration
 	thinks []bool // whom it takes for dead, as last looked at
 }
@@ -112,7 +116,7 @@
 func (f *Fleet) start(i int, process uint64) error {
 	n := f.nodes[i]
 	if f.c.Detect == "heartbeat" {
-		n.d = newHeartbeat(i, f.c.Members, f.c.Swim.Period, f.c.Fixed, f.now, f.rng)
+		n.d = newHeartbeat(i, f.c.Members, f.watchers(), f.c.Swim.Period, f.c.Fixed, f.now+n.skew, f.rng)
 	} else {
 		s := f.c.Swim
 		s.Self, s.Addr, s.Process, s.Seed = Name(i), fmt.Sprint(i), process*100_000+uint64(i)+1, f.c.Seed*7919+uint64(i)+process
@@ -120,7 +124,7 @@
 		if f.c.Detect == "plain" {
 			s.Health, s.Phi, s.Bear = -1, -1, time.Nanosecond
 		}
-		d, err := swim.New(s, f.now)
+		d, err := swim.New(s, f.now+n.skew)
 		if err != nil {
 			return err
 		}
@@ -131,6 +135,14 @@
 	return nil
 }
 
+// watchers is how many members watch the others.
+func (f *Fleet) watchers() int {
+	if f.c.Detect == "heartbeat" && f.c.Watchers > 0 {
+		return f.c.Watchers
+	}
+	return f.c.Members
+}
+
 // Name is the name of a member.
 func Name(i int) string { return fmt.Sprintf("c%04d", i) }
 
@@ -177,7 +189,7 @@
 
 func (f *Fleet) step(i int, in []any) {
 	n := f.nodes[i]
-	for _, o := range n.d.step(f.now, in) {
+	for _, o := range n.d.step(f.now+n.skew, in) {
 		f.Packets++
 		f.Bytes += o.bytes
 		if o.to < 0 || o.to >= len(f.nodes) || f.cut[[2]int{i, o.to}] || o.stream && f.cut[[2]int{o.to, i}] {
@@ -196,7 +208,7 @@
 		}
 	}
 	f.account(i)
-	if at := n.d.next(); at != n.wakeAt || at <= f.now {
+	if at := n.d.next() - n.skew; at != n.wakeAt || at <= f.now {
 		f.wakeNode(i, max(at, f.now+time.Microsecond))
 	}
 }
@@ -222,6 +234,12 @@
 	f.push(event{at: f.now + d, to: i, body: resumed{}})
 }
 
+// Jump moves a member's clock. Only a process that counts by the wall's clock sees that at all.
+func (f *Fleet) Jump(i int, by time.Duration) {
+	f.nodes[i].skew += by
+	f.wakeNode(i, f.now)
+}
+
 // resumed is what wakes a member after a pause.
 type resumed struct{}
 
@@ -290,8 +308,8 @@
 func (f *Fleet) Detection(i int, longest time.Duration) (half, all time.Duration, ok bool) {
 	f.Crash(i)
 	from, live := f.now, 0
-	for _, n := range f.nodes {
-		if n.up {
+	for j, n := range f.nodes {
+		if n.up && j < f.watchers() {
 			live++
 		}
 	}
@@ -358,17 +376,20 @@
 // heartbeat is the baseline: each tells all others that it is there once a period, and takes for dead whom it has not
 // heard for a fixed time.
 type heartbeat struct {
-	self, n int
-	period  time.Duration
-	fixed   time.Duration
-	at      time.Duration
-	heard   []time.Duration
-	now     time.Duration
+	self, to int // it tells the first so many members
+	period   time.Duration
+	fixed    time.Duration
+	at       time.Duration
+	heard    []time.Duration // empty where it does not watch
+	now      time.Duration
 }
 
-func newHeartbeat(self, n int, period, fixed, now time.Duration, rng *rand.Rand) *heartbeat {
-	h := &heartbeat{self: self, n: n, period: period, fixed: fixed, at: now + time.Duration(rng.Float64()*float64(period)), now: now}
+func newHeartbeat(self, n, watchers int, period, fixed, now time.Duration, rng *rand.Rand) *heartbeat {
+	h := &heartbeat{self: self, to: watchers, period: period, fixed: fixed, at: now + time.Duration(rng.Float64()*float64(period)), now: now}
 	for range n {
+		if self >= watchers {
+			break
+		}
 		h.heard = append(h.heard, now)
 	}
 	return h
@@ -382,7 +403,7 @@
 		}
 	}
 	if now >= h.at {
-		for j := range h.n {
+		for j := range h.to {
 			if j != h.self {
 				list = append(list, out{to: j, body: h.self, bytes: 60})
 			}
@@ -393,8 +414,10 @@
 }
 
 func (h *heartbeat) next() time.Duration { return h.at }
-func (h *heartbeat) dead(i int) bool     { return i != h.self && h.now-h.heard[i] > h.fixed }
-func (h *heartbeat) alive(i int) bool    { return !h.dead(i) }
+func (h *heartbeat) dead(i int) bool {
+	return i != h.self && len(h.heard) > 0 && h.now-h.heard[i] > h.fixed
+}
+func (h *heartbeat) alive(i int) bool { return !h.dead(i) }
 
 // Quantile of durations, which are sorted in place; 0 for none.
 func Quantile(list []time.Duration, q float64) time.Duration {
--- a/internal/store/layer.go
+++ b/internal/store/layer.go
@@ -27,9 +27,10 @@
 	perTry    = 2 * time.Second // a leader that does not answer may be none any more
 )
 
-// call is what is put to the leader: a command, or to tell up to where its log goes.
+// call is what is put to the leader: a command, a change of the members, or to tell up to where its log goes.
 type call struct {
 	Command *replica.Command `json:",omitempty"`
+	Member  *MemberChange    `json:",omitempty"`
 	LeftMS  int64            // of the caller's time
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -246,6 +246,9 @@
 	if !ok {
 		end = time.Now().Add(longest)
 	}
+	if c.Member != nil {
+		return s.changeMember(*c.Member, end)
+	}
 	if c.Command == nil {
 		if err := s.raft.Barrier(time.Until(end)).Error(); err != nil {
 			return r, err
@@ -316,18 +319,21 @@
 	Index  uint64 // applied
 	Heard  time.Duration
 	Peers  map[string]string // suffrage by name
+	Addrs  map[string]string // where each listens
 }
 
 // Status tells how this member sees the store now.
 func (s *Store) Status() Status {
 	_, leader := s.raft.LeaderWithID()
-	st := Status{Name: s.name, State: s.raft.State().String(), Leader: string(leader), Term: s.raft.CurrentTerm(), Peers: map[string]string{}}
+	st := Status{Name: s.name, State: s.raft.State().String(), Leader: string(leader), Term: s.raft.CurrentTerm(), Peers: map[string]string{},
+		Addrs: map[string]string{}}
 	if at := s.raft.LastContact(); !at.IsZero() && st.State != "Leader" {
 		st.Heard = time.Since(at)
 	}
 	if f := s.raft.GetConfiguration(); f.Error() == nil {
 		for _, p := range f.Configuration().Servers {
 			st.Peers[string(p.ID)] = strings.ToLower(p.Suffrage.String())
+			st.Addrs[string(p.ID)] = string(p.Address)
 		}
 	}
 	s.mu.Lock()
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -249,3 +252,65 @@
 		s.Close()
 	}
 }
+
+// TestMembersChange: a member that is gone for good is taken out, one in its place joins as a learner and gets its vote once it
+// has caught up; what does not fit is refused with the reason, and the values stay.
+func TestMembersChange(t *testing.T) {
+	all, _ := fleetOf(t)
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(60*time.Second))
+	defer cancel()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := all[3].Do(ctx, replica.Command{Put: []replica.Pair{{Key: "k", Value: []byte("v")}}})
+	must(errors.Join(err, r.Err()))
+	must(all[0].Close())
+	all[0] = nil
+	for _, c := range []struct {
+		from int
+		c    MemberChange
+		want string
+	}{
+		{3, MemberChange{Remove, "n9", ""}, "no member \"n9\""},
+		{1, MemberChange{AddLearner, "n2", "127.0.0.1:1"}, "\"n2\" is a member already"},
+		{1, MemberChange{AddLearner, "n4", "nowhere"}, "a member needs a name and an address"},
+		{1, MemberChange{GiveVote, "", ""}, "\"n1\" is no learner"},
+		{1, MemberChange{"paint", "n2", ""}, "is no change of a member"},
+	} {
+		if err := all[c.from].Change(ctx, c.c); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%+v: %v, want %q", c.c, err, c.want)
+		}
+	}
+	must(all[3].Change(ctx, MemberChange{What: Remove, Name: "n0"}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	addr := ln.Addr().String()
+	ln.Close()
+	must(all[2].Change(ctx, MemberChange{AddLearner, "n4", addr}))
+	peers := []config.Peer{{Name: "n4", Addr: addr, Learner: true}}
+	for name, at := range all[1].Status().Addrs {
+		if name != "n4" {
+			peers = append(peers, config.Peer{Name: name, Addr: at, Learner: all[1].Status().Peers[name] != "voter"})
+		}
+	}
+	fresh := open(t, config.Store{Directory: t.TempDir(), Listen: addr, Peer: peers, Heartbeat: config.Span(300 * time.Millisecond)}, "n4")
+	all = append(all, fresh)
+	must(fresh.Change(ctx, MemberChange{What: GiveVote}))
+	until(t, fresh, "k", "v")
+	want := map[string]string{"n1": "voter", "n2": "voter", "n3": "nonvoter", "n4": "voter"}
+	for _, i := range []int{1, 3, 4} {
+		for end := time.Now().Add(20 * time.Second); !maps.Equal(all[i].Status().Peers, want); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("member %d holds %v for the members, want %v", i, all[i].Status().Peers, want)
+			}
+		}
+	}
+	for _, s := range all {
+		if s != nil {
+			must(s.Close())
+		}
+	}
+}
