--- a/internal/swim/state.go
+++ b/internal/swim/state.go
@@ -297,9 +297,15 @@
 
 // spread queues a word. An older word on the same is no longer passed on; suspicions of several are.
 func (s *Swim) spread(u Update) {
-	s.news = slices.DeleteFunc(s.news, func(i *item) bool {
-		return i.update != nil && i.update.Name == u.Name && !(i.update.State == Suspect && u.State == Suspect && i.update.By != u.By)
-	})
+	if s.queued[u.Name] > 0 { // most news is of members of whom there is none yet
+		s.news = slices.DeleteFunc(s.news, func(i *item) bool {
+			old := i.update != nil && i.update.Name == u.Name && !(i.update.State == Suspect && u.State == Suspect && i.update.By != u.By)
+			if old {
+				s.uncount(i)
+			}
+			return old
+		})
+	}
 	s.queue(&item{update: &u})
 }
 
@@ -308,8 +314,22 @@
 	i.seq = s.counts.Queued
 	// By sent, then the newest: a new one has been sent 0 times and goes in front.
 	s.news = slices.Insert(s.news, 0, i)
-	if len(s.news) > mostMembers {
-		s.news = s.news[:mostMembers]
+	if i.update != nil {
+		s.queued[i.update.Name]++
+	}
+	for len(s.news) > mostMembers {
+		s.uncount(s.news[len(s.news)-1])
+		s.news = s.news[:len(s.news)-1]
+	}
+}
+
+// uncount notes that an item is no longer queued.
+func (s *Swim) uncount(i *item) {
+	if i.update == nil {
+		return
+	}
+	if s.queued[i.update.Name]--; s.queued[i.update.Name] == 0 {
+		delete(s.queued, i.update.Name)
 	}
 }
 
@@ -339,8 +359,17 @@
 			msg.Links = append(msg.Links, *i.link)
 		}
 	}
-	s.news = slices.DeleteFunc(s.news, func(i *item) bool { return i.sent >= most })
-	slices.SortStableFunc(s.news, func(i, o *item) int {
-		return cmp.Or(cmp.Compare(i.sent, o.sent), cmp.Compare(o.seq, i.seq))
-	})
+	// What was passed on goes back to its place, or is done; the rest is in order already.
+	sent := slices.Clone(s.news[:loaded])
+	s.news = s.news[loaded:]
+	for _, i := range sent {
+		if i.sent >= most {
+			s.uncount(i)
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(s.news, i, func(i, o *item) int {
+			return cmp.Or(cmp.Compare(i.sent, o.sent), cmp.Compare(o.seq, i.seq))
+		})
+		s.news = slices.Insert(s.news, at, i)
+	}
 }
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -253,7 +253,8 @@
 	relays   []relay
 	seq      uint32
 	health   int
-	news     []*item
+	news     []*item        // by how often each was sent, then the newest first
+	queued   map[string]int // updates among them, by member
 	links    map[[3]string]*link
 	version  uint32 // of our words on links
 	probeAt  time.Duration
@@ -282,7 +283,7 @@
 	if err := c.defaults(); err != nil {
 		return nil, err
 	}
-	s := &Swim{c: c, rng: rand.New(rand.NewPCG(c.Seed, 0x5317)), now: now, members: map[string]*member{}, links: map[[3]string]*link{}, wake: now}
+	s := &Swim{c: c, rng: rand.New(rand.NewPCG(c.Seed, 0x5317)), now: now, members: map[string]*member{}, links: map[[3]string]*link{}, queued: map[string]int{}, wake: now}
 	s.self = &member{Update: Update{Name: c.Self, Addr: c.Addr, Process: c.Process, Incarnation: 1}, since: now}
 	s.members[c.Self] = s.self
 	// Coordinators that start together do not probe in step.
