Duties: named ones, a way to try and to hand on each, and a lab that stalls, kills and cuts their holders

- work.duties names further duties for work of the operators' own.
`gullfall duties try NAME` exits with 0 only if this coordinator holds it and the store has just taken its token; `duties hand-on [NAME]`.
SIGTERM gives all back, and the old holder stands back for a lease: it campaigned again at once before (Leave used Resign).

--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -14,6 +14,7 @@
 
 type commands struct {
 	Demo    demoCmd    `cmd:"" help:"Start a fleet of stand-ins and the real gullfall, ask queries, kill, drain and flap data nodes, and check the rules."`
+	Duties  dutiesCmd  `cmd:"" help:"Have duties held by one coordinator at a time among stalls, kills and cuts, and check that no two hold one."`
 	Explore exploreCmd `cmd:"" help:"Go through every state of a small fleet whose machines go out for work, or find the bugs seeded into its rules."`
 	Flight  flightCmd  `cmd:"" help:"Run the conformance suite of the second front, and measure it."`
 	Dnssd   dnssdCmd   `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
--- a/cmd/gullfall-lab/work.go
+++ b/cmd/gullfall-lab/work.go
@@ -35,6 +35,7 @@
 	Faults        int            `json:"faults"`
 	Kinds         map[string]int `json:"kinds"`
 	Machines      int            `json:"machines"`        // handed over, one counted as often as it was
+	Overtaken     int            `json:"overtaken"`       // that crashed and came up anew before the hands took them up
 	Completed     int            `json:"completed"`       // requests that ended
 	Requests      int            `json:"requests"`        //
 	Moves         int            `json:"moves"`           //
@@ -146,6 +147,7 @@
 	w.EndLoad()
 	f := w.Verdict()
 	r.Machines, r.Moves, r.SentWhileOut, r.FloorBroken, r.TwoOrders = f.HandedOver, w.Moves(), f.SentWhileOut, f.FloorBroken, f.TwoOrders
+	r.Overtaken = f.Overtaken
 	r.Said = append(r.Said, f.Said...)
 	r.Asked, r.Lost, r.Wrong, r.Refused, r.Failed = clean.Asked, clean.Lost, clean.Wrong, clean.Refused, clean.Failed
 	r.Served = float64(clean.Served) / float64(max(clean.Asked, 1))
--- a/cmd/gullfall/work.go
+++ b/cmd/gullfall/work.go
@@ -35,7 +35,7 @@
 	log.Info("taking part in the work on machines", "bound", time.Duration(w.Bound), "lease", time.Duration(w.Lease))
 	return steward.Start(steward.Options{Store: kept, Core: c, Name: cfg.Name, Log: log,
 		Layout: maintenance.Layout{Cells: set.Cells, Shards: set.Shards, Reach: set.Reach}, Limits: w.Limits(), Warm: set.Rules.WarmAfter,
-		Longest: longest(set), Bound: time.Duration(w.Bound), Duty: time.Duration(w.Lease), Drift: w.Drift, Every: time.Duration(w.Every),
+		Longest: longest(set), Bound: time.Duration(w.Bound), Duty: time.Duration(w.Lease), Drift: w.Drift, Duties: w.Duties, Every: time.Duration(w.Every),
 		Hook: w.Hook, HookFor: time.Duration(w.HookTime), Budget: w.Budget})
 }
 
@@ -103,7 +103,8 @@
 		return w.Machine, work.Done(ctx, w.By, w.Machine, w.As)
 	})
 	commands["work forget"] = word(func(ctx context.Context, w workWord) (any, error) { return w.Name, work.Forget(ctx, w.By, w.Name) })
-	commands["duties hand-on"] = word(func(ctx context.Context, w workWord) (any, error) { return true, work.HandOn(ctx) })
+	commands["duties hand-on"] = word(func(ctx context.Context, w workWord) (any, error) { return true, work.HandOn(ctx, w.Name) })
+	commands["duties try"] = word(func(ctx context.Context, w workWord) (any, error) { return work.Try(ctx, w.Name) })
 }
 
 // workTime is how long the daemon tries for an operator.
@@ -438,7 +439,8 @@
 
 type dutiesCmd struct {
 	Show   dutiesShowCmd   `cmd:"" default:"withargs" help:"Show who holds which duty."`
-	HandOn dutiesHandOnCmd `cmd:"" help:"Have the coordinator behind the socket give its duty back, so that another takes it over."`
+	HandOn dutiesHandOnCmd `cmd:"" help:"Have the coordinator behind the socket give a duty back, so that another takes it over."`
+	Try    dutiesTryCmd    `cmd:"" help:"Exit with status 0 only if the coordinator behind the socket holds a duty and the store takes its token; print the token."`
 }
 
 type dutiesShowCmd struct{ lookFlags }
@@ -471,12 +473,15 @@
 	return name
 }
 
-type dutiesHandOnCmd struct{ socketFlag }
+type dutiesHandOnCmd struct {
+	socketFlag
+	Name string `arg:"" default:"maintenance" help:"The duty."`
+}
 
 // Run has a duty handed on.
 func (c dutiesHandOnCmd) Run() error {
 	var done bool
-	if err := c.ask("duties hand-on", workWord{}, &done); err != nil {
+	if err := c.ask("duties hand-on", workWord{Name: c.Name}, &done); err != nil {
 		return err
 	}
 	if !done {
@@ -485,3 +490,29 @@
 	fmt.Println("given back; another coordinator takes it over within a quarter of a lease")
 	return nil
 }
+
+type dutiesTryCmd struct {
+	socketFlag
+	Name string `arg:"" help:"The duty."`
+	JSON bool   `name:"json" help:"For machines."`
+}
+
+// Run tries a duty.
+func (c dutiesTryCmd) Run() error {
+	var t steward.Tried
+	if err := c.ask("duties try", workWord{Name: c.Name}, &t); err != nil {
+		return err
+	}
+	if c.JSON {
+		json.NewEncoder(os.Stdout).Encode(t)
+	} else if t.Accepted {
+		fmt.Println(t.Token)
+	}
+	switch {
+	case !t.Holds:
+		return fmt.Errorf("%s does not hold %s", t.Who, t.Duty)
+	case !t.Accepted:
+		return fmt.Errorf("the store does not take token %d of %s any more: %s", t.Token, t.Who, t.Why)
+	}
+	return nil
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -106,6 +106,11 @@
 		{"[[node]]\nid = \"a\"\naddr = \"127.0.0.1:1\"\nproto = \"smoke\"", "node[0].proto"},
 		{"[log]\nlevel = \"loud\"\n[flight]\nlisten = \"here\"", "flight.listen"}, // every one is named
 		{"[store]\nlisten = \"127.0.0.1:8300\"", "store.listen"},
+		{"[store]\nskew = 0.5", "store.skew"},
+		{"[work]\nbudget = 100", "work.budget"},
+		{"[work]\nduties = [\"a\", \"b\"]", ""},
+		{"[work]\nduties = [\"a\", \"a\"]", "work.duties[1]"},
+		{"[work]\nduties = [\"maintenance\"]", "work.duties[0]"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n1\"\naddr = \"127.0.0.1:8300\"", "store.peer"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"x\"", "store.peer[0].addr"},
 		{"[store]\nlisten = \"127.0.0.1:8300\"\n[[store.peer]]\nname = \"n0\"\naddr = \"127.0.0.1:8300\"", ""},
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -126,6 +126,7 @@
 	Heartbeat Span // a leader not heard for so long is replaced; 1s
 	Peer      []Peer
 	Route     []PeerRoute
+	Skew      float64 // by how much the clock that leases are counted by runs fast; to try their bound, 0 in service
 }
 
 // Peer is one member of the store. A learner holds a copy and has no vote.
@@ -276,6 +277,9 @@
 		addr(fmt.Sprintf("store.route[%d].addr", i), r.Addr)
 		addr(fmt.Sprintf("store.route[%d].via", i), r.Via)
 	}
+	if k := d.Store.Skew; !(k > -0.5 && k < 0.5) {
+		fault("store.skew: %v; between -0.5 and 0.5, and 0 in service", k)
+	}
 	if b := time.Duration(d.Store.Heartbeat); b != 0 && b < 50*time.Millisecond {
 		fault("store.heartbeat: %v; give 50ms or more, longer than the longest pause of a member", b)
 	}
--- a/internal/config/work.go
+++ b/internal/config/work.go
@@ -15,7 +15,8 @@
 	Bound     Span // that machines of open requests are sent to without a word from the store
 	Lease     Span // of the duty
 	Drift     float64
-	Every     Span // between looks at the plan
+	Every     Span     // between looks at the plan
+	Duties    []string // further duties, beside that of the work on machines
 	Floor     int
 	PerShard  int `toml:"per_shard"`
 	AtOnce    int `toml:"at_once"`
@@ -73,6 +74,13 @@
 	if w.Budget < 1024 {
 		fault("work.budget: %d; 1024 bytes a second at least", w.Budget)
 	}
+	seen := map[string]bool{maintenance.Duty: true}
+	for i, name := range w.Duties {
+		if name == "" || len(name) > 64 || seen[name] || len(w.Duties) > 32 {
+			fault("work.duties[%d]: %q; names of 1 to 64 bytes, each once, none %q, 32 at most", i, name, maintenance.Duty)
+		}
+		seen[name] = true
+	}
 	if err := w.Limits().Check(); err != nil {
 		fault("work: floor, per_shard, at_once, share, zone_share, room: %w", err)
 	}
--- /dev/null
+++ b/internal/lab/fleet/duties_test.go
@@ -0,0 +1,94 @@
+package fleet_test
+
+// Five processes of the real program hold duties in turn while their holders are stalled, killed, cut off and told to hand on, with
+// clocks that run fast and slow. The long loop is `gullfall-lab duties`.
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/proxy"
+)
+
+func TestDutiesAreHandedOn(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "gullfall")
+	if out, err := exec.Command("go", "build", "-o", binary, "gullfall/cmd/gullfall").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(2*time.Minute))
+	defer cancel()
+	const lease = time.Second
+	w, err := fleet.StartWorks(ctx, fleet.WorksOptions{Coordinators: 5, Voters: 3, PerZone: 4, Rate: 2, Floor: 2, Share: 0.3, Bound: time.Second, Lease: lease,
+		Warm: time.Second, Heartbeat: 500 * time.Millisecond, Work: 300 * time.Millisecond, Binary: binary, Seed: 2, Duties: []string{"one", "two"}, Skew: 0.009})
+	if w != nil {
+		defer func() {
+			if err := w.Stop(); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	holder := func(duty string, not int) (i int) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			if i = w.HolderOf(ctx, duty); i >= 0 && i != not {
+				return i
+			}
+			if time.Now().After(end) {
+				t.Fatalf("nobody took %s over", duty)
+			}
+		}
+	}
+	holder("one", -1)
+	var h fleet.DutyHistory
+	asking, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { w.Acts(asking, &h, 20*time.Millisecond, "maintenance", "one", "two") })
+
+	i := holder("one", -1)
+	must(w.HandOn(ctx, i, "one"))
+	if err := w.HandOn(ctx, holder("one", i), "three"); err == nil {
+		t.Error("a duty that is none was handed on")
+	}
+	i = holder("two", -1)
+	must(w.Stall(i, true))
+	time.Sleep(3 * lease)
+	must(w.Stall(i, false)) // it wakes, and acts on nothing
+	i = holder("one", -1)
+	must(w.Kill(i))
+	holder("one", i)
+	must(w.Start(ctx, i))
+	i = holder("two", -1)
+	w.Isolate(i, proxy.DropUp) // what it says is lost, what it is told is not
+	holder("two", i)
+	w.Isolate(i, proxy.Pass)
+	i = holder("maintenance", -1)
+	must(w.End(i)) // it gives its duties back
+	must(w.Start(ctx, i))
+	holder("maintenance", -1)
+	time.Sleep(2 * lease)
+	stop()
+	wg.Wait()
+
+	v := h.Check()
+	if v.Double+v.Stale > 0 || len(v.Said) > 0 {
+		t.Errorf("%d double holders, %d stale writes taken: %v", v.Double, v.Stale, v.Said)
+	}
+	if len(v.Handovers) < 5 || v.Accepted < 100 {
+		t.Errorf("%d hand-overs, %d writes taken: too few to tell", len(v.Handovers), v.Accepted)
+	}
+	t.Logf("%d claims, %d hand-overs", v.Claims, len(v.Handovers))
+}
--- a/internal/lab/fleet/work.go
+++ b/internal/lab/fleet/work.go
@@ -55,6 +55,8 @@
 	Bound, Lease, Warm   time.Duration
 	Heartbeat            time.Duration
 	Work                 time.Duration // that the hands take for a machine
+	Duties               []string      // beside that of the work
+	Skew                 float64       // clocks of leases run between this much slow and this much fast
 	Binary               string
 	Seed                 uint64
 }
@@ -99,6 +101,7 @@
 	FloorBroken  int      // looks at which a shard had fewer replicas outside work than its floor
 	TwoOrders    int      // moves that two coordinators told differently
 	HandedOver   int      // machines that were
+	Overtaken    int      // machines that crashed and came up anew before the hands took them up
 	Said         []string // the first of each
 }
 
@@ -176,8 +179,8 @@
 
 // Start starts one coordinator, anew after Kill, with the store that it had.
 func (w *Works) Start(ctx context.Context, i int) (err error) {
-	text := fmt.Sprintf("[log]\nlevel = \"info\"\n[admin]\nsocket = %q\n[work]\nenabled = true\nbound = %q\nlease = %q\nevery = \"50ms\"\nfloor = %d\nshare = %g\nzone_share = 1\n[store]\ndirectory = %q\nlisten = %q\nheartbeat = %q\n",
-		w.socket(i), w.o.Bound, w.o.Lease, w.o.Floor, w.o.Share, filepath.Join(w.folder, "store-"+PeerName(i)), w.addrs[i], w.o.Heartbeat)
+	text := fmt.Sprintf("[log]\nlevel = \"info\"\n[admin]\nsocket = %q\n[work]\nenabled = true\nbound = %q\nlease = %q\nevery = \"50ms\"\nduties = [%s]\nfloor = %d\nshare = %g\nzone_share = 1\n[store]\ndirectory = %q\nlisten = %q\nheartbeat = %q\nskew = %g\n",
+		w.socket(i), w.o.Bound, w.o.Lease, quoted(w.o.Duties), w.o.Floor, w.o.Share, filepath.Join(w.folder, "store-"+PeerName(i)), w.addrs[i], w.o.Heartbeat, w.o.Skew*(1-2*float64(i)/float64(max(w.o.Coordinators-1, 1))))
 	for j, addr := range w.addrs {
 		text += fmt.Sprintf("[[store.peer]]\nname = %q\naddr = %q\nlearner = %v\n", PeerName(j), addr, j >= w.o.Voters)
 		if j != i {
@@ -194,6 +197,15 @@
 	return err
 }
 
+// quoted is a list of names as the deploy file has it.
+func quoted(names []string) string {
+	var list []string
+	for _, n := range names {
+		list = append(list, strconv.Quote(n))
+	}
+	return strings.Join(list, ", ")
+}
+
 // Up tells whether a coordinator runs and is not stalled.
 func (w *Works) Up(i int) bool {
 	w.mu.Lock()
@@ -351,8 +363,11 @@
 	return v, admin.Call(ctx, w.socket(i), "work look", map[string]any{"Fresh": fresh}, &v)
 }
 
-// Holder is who holds the duty, as the first coordinator that answers knows; below 0 for nobody.
-func (w *Works) Holder(ctx context.Context) int {
+// Holder is who holds the duty of the work on machines, as HolderOf.
+func (w *Works) Holder(ctx context.Context) int { return w.HolderOf(ctx, maintenance.Duty) }
+
+// HolderOf is who holds a duty, as the first coordinator that answers knows; below 0 for nobody.
+func (w *Works) HolderOf(ctx context.Context, duty string) int {
 	for i := range w.Coords {
 		if !w.Up(i) {
 			continue
@@ -362,6 +377,9 @@
 			continue
 		}
 		for _, d := range v.Duties {
+			if d.Duty != duty {
+				continue
+			}
 			if n, err := strconv.Atoi(strings.TrimPrefix(d.Holder, "n")); err == nil {
 				return n
 			}
@@ -419,7 +437,7 @@
 				for _, st := range r.Steps {
 					if st.State == maintenance.Out && at[st.Machine] < st.Turn {
 						at[st.Machine] = st.Turn
-						w.wg.Go(func() { w.work(ctx, st.Machine) })
+						w.wg.Go(func() { w.work(ctx, st.Machine, st.Started) })
 					}
 					if st.State == maintenance.Returning && back[st.Machine] < st.Turn {
 						back[st.Machine] = st.Turn
@@ -446,13 +464,21 @@
 	}
 }
 
-func (w *Works) work(ctx context.Context, machine string) {
+// work is the hands' part on one machine, whose process was started then as it was drained.
+func (w *Works) work(ctx context.Context, machine string, started int64) {
 	for i, n := range w.Nodes {
 		if n.ID != machine {
 			continue
 		}
 		w.hand[i].Lock()
 		defer w.hand[i].Unlock()
+		if n.Started.UnixMilli() != started {
+			// It crashed as it was called and came up anew since it was handed over: that is its return, and it gets parts again.
+			w.mu.Lock()
+			w.Faults.Overtaken++
+			w.mu.Unlock()
+			return
+		}
 		before := w.Ledger.Account().Starts[machine]
 		select {
 		case <-time.After(w.o.Work):
--- a/internal/steward/operators.go
+++ b/internal/steward/operators.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -171,10 +172,55 @@
 	return v, nil
 }
 
-// HandOn has this coordinator give the duty back, if it holds it, and stand back for one lease.
-func (s *Steward) HandOn(ctx context.Context) error {
-	if _, ok := s.duty.MayAct(); !ok {
-		return fmt.Errorf("%s does not hold the duty", s.Name)
+// lease finds a duty.
+func (s *Steward) lease(duty string) (*store.Lease, error) {
+	l := s.duties[duty]
+	if l == nil {
+		return nil, fmt.Errorf("no duty %q; there are %v", duty, slices.Sorted(maps.Keys(s.duties)))
 	}
-	return s.duty.StandBack(ctx)
+	return l, nil
+}
+
+// HandOn has this coordinator give a duty back, if it holds it, and stand back for one lease.
+func (s *Steward) HandOn(ctx context.Context, duty string) error {
+	l, err := s.lease(duty)
+	if err != nil {
+		return err
+	}
+	if _, ok := l.MayAct(); !ok {
+		return fmt.Errorf("%s does not hold %s", s.Name, duty)
+	}
+	return l.StandBack(ctx)
+}
+
+// Tried is what came of trying a duty.
+type Tried struct {
+	Duty, Who string
+	Holds     bool  // by this coordinator's own clock
+	At        int64 // the moment of that, Unix nanoseconds
+	Token     uint64
+	Accepted  bool   // the store took something under the token
+	Index     uint64 // of it in the store's log
+	Why       string `json:",omitempty"` // it was not taken
+}
+
+// Try tells whether this coordinator holds a duty, and writes to the store under its token, as whoever acts on it does: the
+// store turns an old one back.
+func (s *Steward) Try(ctx context.Context, duty string) (t Tried, err error) {
+	l, err := s.lease(duty)
+	if err != nil {
+		return t, err
+	}
+	t = Tried{Duty: duty, Who: s.Name}
+	var at time.Time
+	t.Token, at, t.Holds = l.Claim()
+	if t.At = at.UnixNano(); !t.Holds {
+		return t, nil
+	}
+	r, err := s.Store.Do(ctx, replica.Command{If: []replica.Cond{{Duty: duty, Token: t.Token}}, Put: []replica.Pair{{Key: triedKey + duty, Value: []byte(s.Name)}}})
+	if err != nil {
+		return t, err
+	}
+	t.Index, t.Accepted, t.Why = r.Index, r.Failed == "", r.Why
+	return t, nil
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
 	"gullfall/internal/core"
@@ -30,6 +31,7 @@
 const (
 	planKey   = "work/plan"
 	recordKey = "work/coordinator/" // and the coordinator's name
+	triedKey  = "duties/"           // and the duty's
 )
 
 // Options are set before Start.
@@ -47,6 +49,7 @@
 	Duty    time.Duration // length of the duty's lease
 	Drift   float64       // by how much clocks may run fast or slow
 	Every   time.Duration // between looks at the plan while the duty is held
+	Duties  []string      // further duties to campaign for
 	Hook    []string      // called with out or done and the machine; none while empty
 	HookFor time.Duration // longest that the hook may take
 	Budget  int           // bytes of plans that the holder writes in a second
@@ -63,7 +66,8 @@
 	Options
 	start    time.Time
 	budget   *rate.Limiter
-	duty     *store.Lease
+	duty     *store.Lease            // of the work on machines
+	duties   map[string]*store.Lease // by name, that one too
 	presence *store.Lease
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
@@ -106,9 +110,15 @@
 			}
 		}}
 	s.duty = &store.Lease{Store: o.Store, Duty: maintenance.Duty, Who: o.Name, Config: lease.Config{Length: o.Duty, Drift: o.Drift}, Log: o.Log}
+	s.duties = map[string]*store.Lease{maintenance.Duty: s.duty}
+	for _, name := range o.Duties {
+		s.duties[name] = &store.Lease{Store: o.Store, Duty: name, Who: o.Name, Config: s.duty.Config, Log: o.Log}
+	}
 	s.remember()
 	s.wg.Go(func() { s.presence.Run(ctx, time.Millisecond) })
-	s.wg.Go(func() { s.duty.Run(ctx, o.Bound/8) })
+	for _, l := range s.duties {
+		s.wg.Go(func() { l.Run(ctx, o.Bound/8) })
+	}
 	s.wg.Go(func() { s.watch(ctx) })
 	s.wg.Go(func() { s.lead(ctx) })
 	return s
@@ -434,8 +444,14 @@
 	}
 }
 
-// Leave gives the duty back at once, so that another takes it over; this coordinator goes on taking part.
-func (s *Steward) Leave(ctx context.Context) error { return s.duty.Resign(ctx) }
+// Leave gives all duties back at once, so that others take them over; this coordinator goes on taking part.
+func (s *Steward) Leave(ctx context.Context) error {
+	var all errgroup.Group
+	for _, l := range s.duties {
+		all.Go(func() error { return l.StandBack(ctx) })
+	}
+	return all.Wait()
+}
 
 // Close ends the part. Where quiet is set nothing is out or begun any more anywhere, and the presence is given back by ctx's
 // deadline, so that nobody waits for it to run out.
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -53,7 +53,7 @@
 	}
 }
 
-func (l *Lease) now() time.Duration { return time.Since(l.Store.start) }
+func (l *Lease) now() time.Duration { return l.Store.clock() }
 
 // ask puts one request and takes in what came of it.
 func (l *Lease) ask(ctx context.Context, ask lease.Ask, sent time.Duration) {
@@ -82,7 +82,7 @@
 	}
 	l.mu.Unlock()
 	if err == nil && r.Failed == "" && l.Told != nil {
-		l.Told(l.Store.start.Add(sent + l.Config.Acting()))
+		l.Told(l.Store.at(sent + l.Config.Acting()))
 	}
 	l.tell()
 }
@@ -105,12 +105,19 @@
 
 // MayAct tells whether the duty may be acted on now, and under which token.
 func (l *Lease) MayAct() (token uint64, ok bool) {
+	token, _, ok = l.Claim()
+	return token, ok
+}
+
+// Claim is MayAct with the moment for which it was told.
+func (l *Lease) Claim() (token uint64, at time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.holder == nil {
-		return 0, false
+	now := l.now()
+	if l.holder != nil {
+		token, ok = l.holder.MayAct(now)
 	}
-	return l.holder.MayAct(l.now())
+	return token, l.Store.at(now), ok
 }
 
 // Resign stops acting at once and gives the lease back, by ctx's deadline; else it runs out.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,6 +43,7 @@
 	disk   *disk  // nil where all is kept in memory
 	layer  *layer // nil where it is alone
 	start  time.Time
+	skew   float64 // of clock
 	writer string
 	number atomic.Uint64
 
@@ -59,7 +60,7 @@
 
 // Open starts the member called name; what it had applied on disk can be read at once.
 func Open(cfg config.Store, name string, log *slog.Logger) (*Store, error) {
-	s := &Store{log: log, name: name, start: time.Now(), state: replica.New(), want: map[string][]byte{}, wake: make(chan struct{}, 1), changed: make(chan struct{}),
+	s := &Store{log: log, name: name, start: time.Now(), skew: cfg.Skew, state: replica.New(), want: map[string][]byte{}, wake: make(chan struct{}, 1), changed: make(chan struct{}),
 		ended: make(chan struct{})}
 	var err error
 	var process [6]byte
@@ -156,6 +157,16 @@
 	f(s.state)
 }
 
+// clock is what leases are counted by: it never jumps while the process runs, and is never compared with another's.
+func (s *Store) clock() time.Duration {
+	return time.Duration(float64(time.Since(s.start)) * (1 + s.skew))
+}
+
+// at is when the clock shows a time.
+func (s *Store) at(own time.Duration) time.Time {
+	return s.start.Add(time.Duration(float64(own) / (1 + s.skew)))
+}
+
 // Changed is closed once something further is applied.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -263,7 +274,7 @@
 		return r, errNoLeader
 	}
 	stamped := *c.Command
-	stamped.At, stamped.LedTerm = time.Since(s.start), term
+	stamped.At, stamped.LedTerm = s.clock(), term
 	data, err := json.Marshal(stamped)
 	if err != nil {
 		return r, err
