Store: a change of members that was not begun, for want of a leader, does not count as made

TestMembersChange failed once in two runs: removing an unknown member said nothing. The first try had met no leader, which made nothing; the second was refused, and as the members were as wanted it counted as made by the first. Only a try whose end is not known does so now (store.Change); a leader that is not reached, or is none any more, is told as no leader by the forwarded call too.

--- a/internal/store/layer.go
+++ b/internal/store/layer.go
@@ -163,7 +163,7 @@
 	defer cancel()
 	nc, err := l.dial(ctx, addr)
 	if err != nil {
-		return r, fmt.Errorf("the store's leader is not reached: %w", err)
+		return r, fmt.Errorf("%w: it is not reached: %w", errNoLeader, err)
 	}
 	defer nc.Close()
 	nc.SetDeadline(end)
@@ -179,7 +179,11 @@
 	if err := json.NewDecoder(nc).Decode(&a); err != nil {
 		return r, fmt.Errorf("the store's leader did not answer: %w", err)
 	}
-	if a.Failed != "" {
+	switch a.Failed {
+	case "":
+	case errNoLeader.Error():
+		return r, errNoLeader
+	default:
 		return r, errors.New(a.Failed)
 	}
 	return a.Result, nil
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -41,14 +41,15 @@
 			return fmt.Errorf("%s has not caught up with the store: %w", s.name, err)
 		}
 	}
-	for try := 0; ; try++ {
+	for doubt := false; ; {
 		r, err := s.ask(ctx, call{Member: &c})
 		switch {
-		case err == nil && r.Failed == "", err == nil && try > 0 && s.made(c):
+		case err == nil && r.Failed == "", err == nil && doubt && s.made(c):
 			return nil
 		case err == nil:
 			return errors.New(r.Why)
 		}
+		doubt = doubt || !errors.Is(err, errNoLeader) // else it was not even begun
 		if ended := s.pause(ctx); ended != nil {
 			return errors.Join(ended, err)
 		}
