Zones: a returning zone counts as out for the guard; the hard cases between processes, gullfall zones, zones by hand

While the first zone's return was tried, guard in internal/zones/zones.go counted its data nodes as kept, though they were still away; so the second could be left. A zone that returns counts as out now until it is healthy (TestVerdicts and TestGuardProperty fail without).

- gullfall zones [--json] shows each verdict and why; zones drain|undrain by an operator's word, kept in the store and so honoured by all that share it, also by one that starts anew. zones.drained of the file still holds for its own coordinator.

--- a/cmd/gullfall-lab/zones.go
+++ b/cmd/gullfall-lab/zones.go
@@ -1,21 +1,24 @@
 package main
 
-// This file owns `gullfall-lab zones`: several coordinators of the real program before stand-in data nodes in three
-// zones, each data node behind a fault proxy of ours, one zone taken away and given back. It plays the same day twice,
-// with each data node judged alone and with [zones] on, and compares. It must never leave a process behind.
+// This file owns `gullfall-lab zones`: several coordinators of the real program before stand-in data nodes in three zones, a fault
+// proxy on each way. One zone is taken away and given back, once with each data node judged alone and once with [zones] on; with
+// --cases the hard cases are played. It must never leave a process behind.
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"gullfall/internal/lab/directory"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
 	"gullfall/internal/lab/fleet"
-	"gullfall/internal/lab/load"
-	"gullfall/internal/lab/nodes"
 	"gullfall/internal/lab/proxy"
 )
 
@@ -24,10 +27,13 @@
 	PerZone      int           `default:"4" help:"Data nodes in each of the three zones."`
 	Fault        string        `default:"drop" enum:"drop,cut,reset" help:"What befalls the zone: drop (silent), cut (refused), reset."`
 	Away         time.Duration `default:"6s" help:"How long the zone is away."`
-	Rate         float64       `default:"40" help:"Queries a second at each coordinator."`
+	Rate         float64       `default:"20" help:"Queries a second at each coordinator."`
+	Cases        bool          `help:"Play the hard cases instead."`
+	Case         string        `help:"With --cases: this one only."`
 	Seed         uint64        `default:"1" help:"Settles the load and the coordinators' draws."`
 	Binary       string        `help:"The gullfall to measure; beside this program by default."`
 	JSON         string        `name:"json" help:"Write the figures here."`
+	Plot         string        `help:"Draw the load of each zone over time into this folder, as zones-node.png and zones-zone.png."`
 }
 
 // zonePlay is what one play of the day showed.
@@ -40,14 +46,21 @@
 	Lost          int            `json:"lost"`            // queries that failed or got no answer
 	Asked         int            `json:"asked"`           //
 	Twins         int            `json:"twins"`           // attempts of one part out together
-	FirstSecond   int            `json:"first_second"`    // most parts begun at one returning data node in its first second
-	ColdBound     float64        `json:"cold_bound"`      // what a cold data node is to get in a second, over all coordinators
+	FirstSecond   int            `json:"first_second"`    // most parts begun at one returning data node in the second after its first
+	ColdBound     float64        `json:"cold_bound"`      // what a cold data node bears in that second, over all coordinators
 	OverColdBound int            `json:"over_cold_bound"` // returning data nodes that got more
 	ReturnMS      float64        `json:"return_ms"`       // from the zone's return until its data nodes have four fifths of their share
 	Ends          map[string]int `json:"ends"`            // how attempts in the zone ended while it was away, by end
+	load          map[string]plotter.XYs
 }
 
+var faults = map[string]proxy.Fault{"drop": proxy.Drop, "cut": proxy.Cut, "reset": proxy.Reset}
+
+// Run plays.
 func (z *zonesCmd) Run() error {
+	if z.Cases || z.Case != "" {
+		return z.cases()
+	}
 	var plays []zonePlay
 	for _, on := range []bool{false, true} {
 		p, err := z.play(on)
@@ -64,6 +77,11 @@
 			p.IntoZone, p.ZoneOut, p.Lost, p.Asked, p.Twins, p.FirstSecond, p.ColdBound, p.ReturnMS)
 		fmt.Printf("        ends in the zone while away: %v\n", p.Ends)
 		bad = bad || p.Twins > 0
+		if z.Plot != "" {
+			if err := p.draw(filepath.Join(z.Plot, "zones-"+p.Judged+".png")); err != nil {
+				return err
+			}
+		}
 	}
 	if err := writeJSON(z.JSON, map[string]any{"plays": plays, "seed": z.Seed, "fault": z.Fault}); err != nil {
 		return err
@@ -74,153 +92,125 @@
 	return nil
 }
 
-var faults = map[string]proxy.Fault{"drop": proxy.Drop, "cut": proxy.Cut, "reset": proxy.Reset}
+// cases plays the hard cases, each on a fleet of its own.
+func (z *zonesCmd) cases() error {
+	var results []fleet.ZoneResult
+	broken := 0
+	fmt.Printf("%-24s %9s %10s %6s %5s %6s %13s %6s\n", "case", "leave_ms", "return_ms", "asked", "lost", "twins", "first_second", "bound")
+	for _, c := range fleet.ZoneCases {
+		if z.Case != "" && c.Name != z.Case {
+			continue
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(2*time.Minute))
+		r, err := fleet.PlayZones(ctx, c, fleet.ZonesOptions{Coordinators: max(z.Coordinators, 5), PerZone: z.PerZone, Rate: z.Rate, Binary: binary(z.Binary), Seed: z.Seed})
+		cancel()
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.Name, err)
+		}
+		results = append(results, r)
+		fmt.Printf("%-24s %9.0f %10.0f %6d %5d %6d %13d %6.1f  %s\n", r.Name, r.LeaveMS, r.ReturnMS, r.Asked, r.Lost, r.Twins, r.MostReturn, r.ColdBound, r.Broken)
+		if r.Broken != "" {
+			broken++
+		}
+	}
+	if err := writeJSON(z.JSON, map[string]any{"cases": results, "seed": z.Seed}); err != nil {
+		return err
+	}
+	if broken > 0 || len(results) == 0 {
+		return fmt.Errorf("%d of %d cases broke", broken, len(results))
+	}
+	return nil
+}
 
+// play takes zone a away and gives it back.
 func (z *zonesCmd) play(on bool) (play zonePlay, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(2*time.Minute))
 	defer cancel()
-	play.Judged, play.Coordinators = "node", z.Coordinators
+	play = zonePlay{Judged: "node", Coordinators: z.Coordinators, ColdBound: fleet.ZoneColdBound(), Ends: map[string]int{}, load: map[string]plotter.XYs{}}
 	if on {
 		play.Judged = "zone"
 	}
-	ledger := nodes.NewLedger()
-	dir, err := directory.Start()
+	names := []string{"a", "b", "c"}
+	f, err := fleet.StartZones(ctx, fleet.ZonesOptions{Coordinators: z.Coordinators, Zones: names, PerZone: z.PerZone, Rate: z.Rate,
+		Deploy: fmt.Sprintf("enabled = %v\n", on), Binary: binary(z.Binary), Seed: z.Seed})
+	if f != nil {
+		defer func() { err = errors.Join(err, f.Stop()) }()
+	}
 	if err != nil {
 		return play, err
 	}
-	defer dir.Close()
-	const cells, shards = 4, 8
-	var all []*nodes.Node
-	var proxies []*proxy.Proxy
-	var entries []directory.Entry
-	defer func() {
-		for _, p := range proxies {
-			p.Close()
-		}
-		for _, n := range all {
-			n.Kill()
-		}
-	}()
-	zoneOf := map[string]string{}
-	for zi, zone := range []string{"a", "b", "c"} {
-		for i := range z.PerZone {
-			n := &nodes.Node{ID: fmt.Sprintf("%s-%d", zone, i), Cell: (zi + i) % cells, Proto: "frames", Ledger: ledger,
-				Takes: 5 * time.Millisecond, Started: time.Now().Add(-time.Hour)}
-			if err := n.Start(); err != nil {
-				return play, err
-			}
-			all = append(all, n)
-			p, err := proxy.Start(n.Addr())
-			if err != nil {
-				return play, err
+	// rates are the parts a second that begin at a data node of each zone, since the last look.
+	start := time.Now()
+	last, lastAt := map[string]map[string]int{}, start
+	rates := func() map[string]float64 {
+		now, r := time.Now(), map[string]float64{}
+		for _, zone := range names {
+			parts := f.Parts(zone)
+			for id, n := range parts {
+				r[zone] += float64(n-last[zone][id]) / now.Sub(lastAt).Seconds() / float64(z.PerZone)
 			}
-			proxies = append(proxies, p)
-			zoneOf[n.ID] = zone
-			entries = append(entries, directory.Entry{ID: n.ID, Addr: p.Addr(), Zone: zone, Cell: n.Cell, State: "SERVING",
-				Weight: 1, Started: n.Started.UnixMilli()})
-		}
-	}
-	dir.Set(entries...)
-	deploy := "[log]\nlevel = \"debug\"\n[zones]\nenabled = false\n" // attempts are counted by their debug lines
-	if on {
-		deploy = "[log]\nlevel = \"debug\"\n[zones]\nenabled = true\n"
-	}
-	var coords []*fleet.Coordinator
-	defer func() {
-		for _, c := range coords {
-			c.Stop()
-		}
-	}()
-	var loads []*load.Load
-	for i := range z.Coordinators {
-		front := fleet.Free("tcp")
-		settings := fleet.Settings(cells, shards, z.Coordinators)
-		config := fleet.Config(fmt.Sprint("n", i), front, dir.Addr(), z.Seed*1000+uint64(i)+1, 64, settings)
-		c, err := fleet.Spawn(ctx, binary(z.Binary), front, map[string]string{"config.json": config, "deploy/gullfall.toml": deploy})
-		coords = append(coords, c)
-		if err != nil {
-			return play, err
+			last[zone] = parts
+			play.load[zone] = append(play.load[zone], plotter.XY{X: now.Sub(start).Seconds(), Y: r[zone]})
 		}
-		loads = append(loads, &load.Load{Addr: front, Owner: "club", Rate: z.Rate, Shards: shards, Classes: fleet.Classes,
-			Open: 64, Ledger: ledger, Seed: z.Seed*1000 + uint64(i)})
+		lastAt = now
+		return r
 	}
-	loadCtx, stopLoad := context.WithCancel(ctx)
-	done := make(chan struct{})
-	for _, l := range loads {
-		go func() { l.Run(loadCtx); done <- struct{}{} }()
-	}
-	startsA := func() map[string]int {
-		s := ledger.Account().Starts
-		m := map[string]int{}
-		for id, zone := range zoneOf {
-			if zone == "a" {
-				m[id] = s[id]
-			}
-		}
-		return m
-	}
-	const warm = 5 * time.Second
-	before := startsA()
-	time.Sleep(warm)
-	steady := 0.0 // parts a second at a data node of zone a, before
-	for id, n := range startsA() {
-		steady += float64(n-before[id]) / warm.Seconds() / float64(z.PerZone)
+	steady := 0.0
+	const looks = 20
+	for range looks {
+		time.Sleep(250 * time.Millisecond)
+		steady += rates()["a"] / looks
 	}
-	play.ColdBound = 2 * 0.3 * steady // FallMultiple times StartCapacity of the lab's settings
-	fault := faults[z.Fault]
 	began := time.Now()
-	for i, p := range proxies {
-		if zoneOf[all[i].ID] == "a" {
-			p.Set(fault, 0)
-		}
+	if err := f.Set(faults[z.Fault], "a"); err != nil {
+		return play, err
+	}
+	for time.Since(began) < z.Away {
+		time.Sleep(250 * time.Millisecond)
+		rates()
 	}
-	time.Sleep(z.Away)
 	back := time.Now()
-	for i, p := range proxies {
-		if zoneOf[all[i].ID] == "a" {
-			p.Set(proxy.Pass, 0)
-		}
+	if err := f.Set(proxy.Pass, "a"); err != nil {
+		return play, err
 	}
-	atBack := startsA()
-	prev, prevAt := atBack, back
-	firstDone := false
+	first, atFirst := map[string]time.Time{}, map[string]int{}
+	before := f.Parts("a")
+	var lately []float64 // over a second
 	for time.Since(back) < 15*time.Second {
-		time.Sleep(250 * time.Millisecond)
-		now := startsA()
-		if !firstDone && time.Since(back) >= time.Second {
-			firstDone = true
-			for id, n := range now {
-				got := n - atBack[id]
+		time.Sleep(50 * time.Millisecond)
+		now := time.Now()
+		for id, n := range f.Parts("a") {
+			switch at, came := first[id]; {
+			case !came && n > before[id]:
+				first[id], atFirst[id] = now, n
+			case came && atFirst[id] >= 0 && now.Sub(at) >= time.Second:
+				got := n - before[id]
 				play.FirstSecond = max(play.FirstSecond, got)
-				if float64(got) > play.ColdBound*time.Since(back).Seconds() {
+				if float64(got) > play.ColdBound {
 					play.OverColdBound++
 				}
+				atFirst[id] = -1
 			}
 		}
-		rate := 0.0
-		for id, n := range now {
-			rate += float64(n-prev[id]) / time.Since(prevAt).Seconds() / float64(z.PerZone)
-		}
-		if play.ReturnMS == 0 && rate >= 0.8*steady {
-			play.ReturnMS = float64(time.Since(back).Milliseconds())
+		if now.Sub(lastAt) >= 250*time.Millisecond {
+			lately = append(lately, rates()["a"])
+			if lately = lately[max(0, len(lately)-4):]; play.ReturnMS == 0 && len(lately) == 4 && mean(lately) >= 0.8*steady {
+				play.ReturnMS = float64(now.Sub(back).Milliseconds())
+			}
 		}
-		prev, prevAt = now, time.Now()
-	}
-	stopLoad()
-	for range loads {
-		<-done
 	}
-	for _, l := range loads {
-		t := l.Sum()
+	f.EndLoad()
+	for i := range f.Coords {
+		t := f.Sum(i)
 		play.Asked += t.Asked
 		play.Lost += t.Failed + t.Lost + t.Wrong
 	}
-	play.Twins = ledger.Account().Twins
+	play.Twins = f.Ledger.Account().Twins
 	away := func(line string) (time.Duration, bool) {
 		t, err := time.Parse(time.RFC3339Nano, logValue(line, "time"))
 		return t.Sub(began), err == nil && !t.Before(began) && t.Before(back)
 	}
-	for _, c := range coords {
+	for _, c := range f.Coords {
 		for _, line := range c.Lines(`msg="attempt begun" node=a-`) {
 			if after, ok := away(line); ok {
 				play.IntoZone++
@@ -229,9 +219,6 @@
 		}
 		for _, line := range c.Lines(`msg="attempt ended" node=a-`) {
 			if _, ok := away(line); ok {
-				if play.Ends == nil {
-					play.Ends = map[string]int{}
-				}
 				play.Ends[logValue(line, "end")]++
 			}
 		}
@@ -239,12 +226,40 @@
 			play.ZoneOut++
 		}
 		if n := c.Logged("panicked"); n > 0 {
-			fmt.Fprintf(os.Stderr, "a coordinator panicked:\n%s\n", c.Log(2000))
+			return play, fmt.Errorf("a coordinator panicked:\n%s", c.Log(2000))
 		}
 	}
 	return play, nil
 }
 
+func mean(list []float64) (sum float64) {
+	for _, x := range list {
+		sum += x / float64(len(list))
+	}
+	return sum
+}
+
+// draw plots the load of each zone over time.
+func (p *zonePlay) draw(path string) error {
+	pic := plot.New()
+	pic.Title.Text, pic.X.Label.Text, pic.Y.Label.Text = "judged by "+p.Judged, "s", "parts a second at a data node"
+	var names []string
+	for zone := range p.load {
+		names = append(names, zone)
+	}
+	slices.Sort(names)
+	for i, zone := range names {
+		line, err := plotter.NewLine(p.load[zone])
+		if err != nil {
+			return err
+		}
+		line.Dashes = [][]vg.Length{nil, {vg.Points(4), vg.Points(2)}, {vg.Points(1), vg.Points(2)}}[i%3]
+		pic.Add(line)
+		pic.Legend.Add("zone "+zone, line)
+	}
+	return pic.Save(18*vg.Centimeter, 10*vg.Centimeter, path)
+}
+
 // logValue is the value of key in a line of the text log, unquoted; empty where the line has none.
 func logValue(line, key string) string {
 	i := strings.Index(" "+line, " "+key+"=")
--- a/cmd/gullfall/main.go
+++ b/cmd/gullfall/main.go
@@ -19,6 +19,7 @@
 	Serve   serveCmd   `cmd:"" default:"1" help:"Coordinate queries (this is what gullfall does without a word). Reads NODE_CONFIG and deploy/gullfall.toml."`
 	Check   checkCmd   `cmd:"" help:"Read and check all configuration; name every faulty key."`
 	Dnssd   dnssdCmd   `cmd:"" name:"dnssd" help:"Show what DNS-SD records say of data nodes."`
+	Zones   zonesCmd   `cmd:"" help:"Show the verdicts on zones, and leave or return to one by hand."`
 	Store   storeCmd   `cmd:"" help:"Show and change who is a member of the coordinators' store."`
 	Peers   peersCmd   `cmd:"" help:"Show who of the coordinators is there, and who reaches whom."`
 	Work    workCmd    `cmd:"" help:"Take data nodes out for work, in an order that the coordinators settle among themselves."`
--- a/cmd/gullfall/peers.go
+++ b/cmd/gullfall/peers.go
@@ -100,10 +100,11 @@
 }
 
 // commandsOf are the commands that the parts which are on serve.
-func commandsOf(talk *gossip.Gossip, work *steward.Steward, kept *store.Store) map[string]admin.Command {
+func commandsOf(talk *gossip.Gossip, work *steward.Steward, kept *store.Store, hands *zoneHands) map[string]admin.Command {
 	commands := map[string]admin.Command{}
 	workCommands(commands, work)
 	storeCommands(commands, kept, talk)
+	zoneCommands(commands, hands)
 	if talk == nil {
 		return commands
 	}
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -95,11 +95,13 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	var hands *zoneHands
 	if deploy.Zones.Enabled {
 		if err := c.WatchZones(deploy.ZoneRules(cfg.Seed)); err != nil {
 			return fmt.Errorf("zones: %w", err)
 		}
-		if err := c.DrainZones(deploy.Zones.Drained); err != nil {
+		hands = &zoneHands{core: c, kept: kept, log: log}
+		if err := hands.reload(deploy.Zones.Drained); err != nil {
 			return err
 		}
 	}
@@ -109,6 +111,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.Run(ctx)
+	if hands != nil {
+		go hands.watch(ctx)
+	}
 
 	limits := cfg.Settings.Limits
 	slots := make(chan struct{}, cfg.Limits.Sockets*3/8) // connections to data nodes of both kinds
@@ -135,7 +140,7 @@
 	work := startWork(deploy, cfg, c, kept, log)
 	var operators *admin.Server
 	if deploy.Admin.Socket != "" {
-		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk, work, kept), log); err != nil {
+		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk, work, kept, hands), log); err != nil {
 			return err
 		}
 		defer operators.Close()
@@ -148,7 +153,7 @@
 			return err
 		}
 	}
-	go reload(ctx, reloads, cfg, watch, second, c, talk, log)
+	go reload(ctx, reloads, cfg, watch, second, hands, talk, log)
 
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -202,7 +207,7 @@
 // nodes still counts then. A faulty one changes nothing. Of our own file the second front's people, keys and limits hold
 // at once, where it was on at the start.
 func reload(ctx context.Context, signals <-chan os.Signal, cfg config.Config, watch *platform.Watch, second *flight.Server,
-	c *core.Core, talk *gossip.Gossip, log *slog.Logger) {
+	hands *zoneHands, talk *gossip.Gossip, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -214,13 +219,13 @@
 			log.Error("configuration not taken; the old one stays", "cause", err)
 			continue
 		}
-		if second != nil || c.Zones() != nil || talk != nil {
+		if second != nil || hands != nil || talk != nil {
 			deploy, err := config.LoadDeploy(config.DeployFile, cfg.Name)
 			if err == nil && second != nil {
 				err = second.Reload(deploy.Flight.People(), deploy.Flight.Keys(), deploy.Flight.Door())
 			}
-			if err == nil && c.Zones() != nil {
-				err = c.DrainZones(deploy.Zones.Drained)
+			if err == nil && hands != nil {
+				err = hands.reload(deploy.Zones.Drained)
 			}
 			if err == nil && talk != nil {
 				err = talk.SetKeys(deploy.Peers.Keys())
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -432,9 +432,10 @@
 	return z.failing >= t.cfg.MinFailing && z.share >= t.cfg.Leave && z.share-z.others >= t.cfg.Margin
 }
 
-// guard tells how many data nodes would remain outside zones that are out if z were left, and whether that is enough.
+// guard tells how many data nodes would remain outside zones that are out if z were left, and whether that is enough. A zone that
+// returns counts as out until it is healthy: it may still be away, and bears little of the others' load.
 func (t *Tracker) guard(z *zone, total int) (int, bool) {
-	kept := total - t.outNodes() - len(z.nodes)
+	kept := total - t.awayNodes(z) - len(z.nodes)
 	return kept, share(kept, total) >= t.cfg.Keep
 }
 
@@ -448,10 +449,11 @@
 	return t.set(now, z, Out, reason)
 }
 
-func (t *Tracker) outNodes() int {
+// awayNodes are those of the other zones that are out or return.
+func (t *Tracker) awayNodes(but *zone) int {
 	n := 0
 	for _, z := range t.zones {
-		if z.verdict == Out {
+		if z != but && (z.verdict == Out || z.verdict == Returning) {
 			n += len(z.nodes)
 		}
 	}
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -80,6 +80,10 @@
 		{"two of three zones at once: one is left, the guard keeps the other", []string{"a", "b", "c"},
 			[]step{{0, "a", 4}, {0, "b", 4}, {time.Second, "a", 4}, {time.Second, "b", 4}},
 			map[string]string{"a": "out", "b": "doubtful", "c": "healthy"}},
+		{"the guard keeps a second zone while the first is still returning", []string{"a", "b", "c"},
+			[]step{{0, "a", 4}, {time.Second, "a", 4}, {3 * time.Second, "a", -1}, {4 * time.Second, "a", -1}, {4500 * time.Millisecond, "b", 4},
+				{5500 * time.Millisecond, "b", 4}},
+			map[string]string{"a": "returning", "b": "doubtful", "c": "healthy"}},
 		{"a zone that answers again returns after the wait", []string{"a", "b", "c"},
 			[]step{{0, "a", 4}, {time.Second, "a", 4}, {2 * time.Second, "a", -1}, {3 * time.Second, "a", -1}},
 			map[string]string{"a": "returning", "b": "healthy", "c": "healthy"}},
@@ -264,7 +268,7 @@
 			tr.Step(now)
 			out := 0
 			for _, s := range tr.All(now) {
-				if s.Verdict == Out {
+				if s.Verdict == Out || s.Verdict == Returning {
 					out += s.Nodes
 				}
 			}
@@ -273,7 +277,7 @@
 				rt.Fatalf("the only zone was left")
 			}
 			if float64(total-out)/float64(total) < Defaults.Keep {
-				rt.Fatalf("%d of %d data nodes are in zones that are out", out, total)
+				rt.Fatalf("%d of %d data nodes are in zones that are out or return", out, total)
 			}
 			if per < Defaults.MinFailing && out > 0 {
 				rt.Fatalf("a zone of %d data nodes was left", per)
