--- a/cmd/gullfall-lab/zones.go
+++ b/cmd/gullfall-lab/zones.go
@@ -242,6 +242,7 @@
 // draw plots the load of each zone over time.
 func (p *zonePlay) draw(path string) error {
 	pic := plot.New()
+	pic.Legend.Top = true
 	pic.Title.Text, pic.X.Label.Text, pic.Y.Label.Text = "judged by "+p.Judged, "s", "parts a second at a data node"
 	var names []string
 	for zone := range p.load {
