Zones: a zone that takes connections and resets each is left like one that refuses them

The module ejected the data nodes one by one, and what evidence there was grew old.

A cut now counts as a refusal where the attempt was begun after the last cut there and nothing was heard since.

--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -30,6 +30,7 @@
 	told    map[string]time.Time // when a change of the zone was last logged
 	untold  map[string]int       // by zone and verdict
 	heard   map[string]time.Time // by data node: when it last answered an attempt or a probe
+	cut     map[string]time.Time // and when a connection to it was last lost and could be opened again
 	settled bool
 }
 
@@ -42,7 +43,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.zones = &zoneWatch{t: t, told: map[string]time.Time{}, untold: map[string]int{}, heard: map[string]time.Time{}}
+	c.zones = &zoneWatch{t: t, told: map[string]time.Time{}, untold: map[string]int{}, heard: map[string]time.Time{},
+		cut: map[string]time.Time{}}
 	return nil
 }
 
@@ -101,8 +103,10 @@
 // time ran out is a timeout. So is one that the module gave up when nothing had been heard from the data node since
 // the attempt was sent: a data node that swallows what it is sent never lets an attempt run out, for the module tries
 // the part elsewhere first, and without this a silent zone would give no evidence at all. Given up while the data node
-// answered others, an attempt says nothing: the module gives attempts up when their query ends for other reasons. The
-// caller holds no lock; a is nil for a probe.
+// answered others, an attempt says nothing: the module gives attempts up when their query ends for other reasons. A
+// connection that was lost and is open again says nothing either, until what is sent on the new one is lost as well with no
+// answer between: a data node that takes connections and resets each is no better than one that refuses. The caller holds
+// no lock; a is nil for a probe.
 func (c *Core) zoneSaw(n *Node, a *Attempt, end Outcome, now time.Time) {
 	if c.zones == nil {
 		return
@@ -113,6 +117,11 @@
 	switch {
 	case end == Served || end == Errored || end == Busy:
 		c.zones.heard[n.id] = now
+	case end == Cut && a != nil:
+		if last := c.zones.cut[n.id]; !last.IsZero() && a.begun.After(last) && c.zones.heard[n.id].Before(last) {
+			e, known = zones.Refused, true
+		}
+		c.zones.cut[n.id] = now
 	case end != Dropped || a == nil:
 	case a.why == aggregator.TimedOut, a.why == aggregator.Cancelled && c.zones.heard[n.id].Before(a.begun):
 		e, known = zones.TimedOut, true
@@ -139,6 +148,11 @@
 			delete(c.zones.heard, id)
 		}
 	}
+	for id := range c.zones.cut {
+		if _, ok := serving[id]; !ok {
+			delete(c.zones.cut, id)
+		}
+	}
 }
 
 // zoneStep takes the verdicts that are due and returns the event that hands the module what changed, and when the
