Store: a history of clients checked linearizable, recovery after the loss of most votes, operators' notes

Writes of any member were taken once, but nothing showed what clients see of it among faults, and a store that lost most of its votes could not go on.

- gullfall-lab replicate: five processes behind fault proxies, killed, stalled, cut off and split while clients read, put and swap at all of them; porcupine checks the history (internal/lab/linear), and no acknowledged write may be missing in the end.
- gullfall store note: small values of operators' own, with a revision to put them by; what the lab's clients use.

--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -13,16 +13,17 @@
 )
 
 type commands struct {
-	Demo    demoCmd    `cmd:"" help:"Start a fleet of stand-ins and the real gullfall, ask queries, kill, drain and flap data nodes, and check the rules."`
-	Duties  dutiesCmd  `cmd:"" help:"Have duties held by one coordinator at a time among stalls, kills and cuts, and check that no two hold one."`
-	Explore exploreCmd `cmd:"" help:"Go through every state of a small fleet whose machines go out for work, or find the bugs seeded into its rules."`
-	Flight  flightCmd  `cmd:"" help:"Run the conformance suite of the second front, and measure it."`
-	Dnssd   dnssdCmd   `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
-	Fleet   fleetCmd   `cmd:"" help:"Count what all coordinators of a played day have logged: how queries ended badly, over the fleet and over time."`
-	Peers   peersCmd   `cmd:"" help:"Coordinators that watch each other: stalls, kills, lost packets, cuts one way and both; or --sizes in virtual time."`
-	Plan    planCmd    `cmd:"" help:"Orders in which machines go out for work, against the least there can be, zone by zone and one by one."`
-	Work    workCmd    `cmd:"" help:"Take machines out for work by several coordinators among kills, stalls and cuts, and check that nothing is sent there."`
-	Zones   zonesCmd   `cmd:"" help:"Take a zone away from several coordinators and give it back: leaving, losses, twins and the cold bound, by data node and by zone."`
+	Demo      demoCmd      `cmd:"" help:"Start a fleet of stand-ins and the real gullfall, ask queries, kill, drain and flap data nodes, and check the rules."`
+	Duties    dutiesCmd    `cmd:"" help:"Have duties held by one coordinator at a time among stalls, kills and cuts, and check that no two hold one."`
+	Explore   exploreCmd   `cmd:"" help:"Go through every state of a small fleet whose machines go out for work, or find the bugs seeded into its rules."`
+	Flight    flightCmd    `cmd:"" help:"Run the conformance suite of the second front, and measure it."`
+	Dnssd     dnssdCmd     `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
+	Fleet     fleetCmd     `cmd:"" help:"Count what all coordinators of a played day have logged: how queries ended badly, over the fleet and over time."`
+	Peers     peersCmd     `cmd:"" help:"Coordinators that watch each other: stalls, kills, lost packets, cuts one way and both; or --sizes in virtual time."`
+	Plan      planCmd      `cmd:"" help:"Orders in which machines go out for work, against the least there can be, zone by zone and one by one."`
+	Replicate replicateCmd `cmd:"" help:"Read, put and swap values of the coordinators' store among kills, stalls and cuts, and check that the history is linearizable."`
+	Work      workCmd      `cmd:"" help:"Take machines out for work by several coordinators among kills, stalls and cuts, and check that nothing is sent there."`
+	Zones     zonesCmd     `cmd:"" help:"Take a zone away from several coordinators and give it back: leaving, losses, twins and the cold bound, by data node and by zone."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/gullfall-lab/replicate.go
@@ -0,0 +1,240 @@
+package main
+
+// This file owns `gullfall-lab replicate`: members of the coordinators' store, in processes of the real program, are killed, stalled and
+// cut off while clients read, put and swap values at all of them; and whether what the clients saw could have happened in one order.
+// It must never leave a process behind.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/linear"
+	"gullfall/internal/lab/proxy"
+)
+
+type replicateCmd struct {
+	Coordinators int    `default:"5" help:"How many coordinators."`
+	Voters       int    `default:"3" help:"Of them, members of the store with a vote."`
+	Clients      int    `default:"8" help:"Clients that read, put and swap."`
+	Faults       int    `default:"100" help:"How many faults."`
+	Seed         uint64 `default:"1" help:"Settles the faults and what clients do."`
+	Binary       string `help:"The gullfall to play; beside this program by default."`
+	JSON         string `name:"json" help:"Write the figures here."`
+}
+
+// replicateReport is what a play showed.
+type replicateReport struct {
+	Faults       int            `json:"faults"`
+	Kinds        map[string]int `json:"kinds"`
+	Operations   int            `json:"operations"`
+	Committed    int            `json:"committed"` // acknowledged writes
+	Unknown      int            `json:"unknown"`   // operations without an answer
+	Lost         int            `json:"lost"`      // acknowledged writes that are not there in the end
+	Linearizable bool           `json:"linearizable"`
+	Checked      bool           `json:"checked"` // within the time for it
+	P50CatchUpMS float64        `json:"p50_catchup_ms"`
+	P99CatchUpMS float64        `json:"p99_catchup_ms"` // from a start to where the log was then
+	P99StartMS   float64        `json:"p99_start_ms"`   // from a start to the first connection taken
+	BytesPerOp   float64        `json:"bytes_per_operation"`
+	Seed         uint64         `json:"seed"`
+	Said         []string       `json:"said,omitempty"`
+}
+
+// Run plays.
+func (c *replicateCmd) Run() error {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Duration(c.Faults)*8*time.Second+3*time.Minute))
+	defer cancel()
+	r := replicateReport{Kinds: map[string]int{}, Seed: c.Seed}
+	w, err := fleet.StartWorks(ctx, fleet.WorksOptions{Coordinators: c.Coordinators, Voters: c.Voters, PerZone: 4, Rate: 1, Floor: 2, Share: 0.35, Bound: time.Second,
+		Lease: 2 * time.Second, Warm: workWarm, Heartbeat: 300 * time.Millisecond, Work: 400 * time.Millisecond, Binary: binary(c.Binary), Seed: c.Seed})
+	if w != nil {
+		defer w.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	clients := &fleet.StoreClients{Works: w, History: &linear.History{}, Clients: c.Clients, Keys: 12, Epoch: 4 * time.Second, Pause: 25 * time.Millisecond,
+		Timeout: 2 * time.Second, Seed: c.Seed}
+	working, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	sent := w.Sent()
+	wg.Go(func() { clients.Run(working) })
+	p := &replicatePlay{c: c, w: w, chance: rand.New(rand.NewPCG(c.Seed, 22)), kinds: r.Kinds}
+	for r.Faults < c.Faults && err == nil && ctx.Err() == nil {
+		if err = p.fault(ctx); err == nil {
+			r.Faults++
+			time.Sleep(time.Duration(50+p.chance.IntN(400)) * time.Millisecond)
+		}
+	}
+	stop()
+	wg.Wait()
+	if err != nil {
+		return err
+	}
+	sent = w.Sent() - sent
+	time.Sleep(3 * time.Second)
+	final, err := clients.Final(ctx, 0)
+	if err != nil {
+		return err
+	}
+	r.Operations, r.Committed, r.Unknown = clients.History.Counts()
+	r.BytesPerOp = float64(sent) / float64(max(r.Operations, 1))
+	r.Said = clients.History.Lost(final)
+	r.Lost = len(r.Said)
+	r.Linearizable, r.Checked = clients.History.Check(2 * time.Minute)
+	r.P50CatchUpMS, r.P99CatchUpMS, r.P99StartMS = quantileMS(p.caught, 0.5), quantileMS(p.caught, 0.99), quantileMS(p.starts, 0.99)
+	fmt.Printf("%-28s %d %v\n", "faults", r.Faults, r.Kinds)
+	fmt.Printf("%-28s %d, %d writes acknowledged, %d without an answer; %.0f bytes between members for each\n", "operations", r.Operations, r.Committed, r.Unknown, r.BytesPerOp)
+	fmt.Printf("%-28s linearizable %v (checked %v), %d acknowledged writes lost\n", "history", r.Linearizable, r.Checked, r.Lost)
+	fmt.Printf("%-28s %.0f ms at the median, %.0f ms at the 99th percentile; first connection after %.0f ms\n", "caught up after a start", r.P50CatchUpMS, r.P99CatchUpMS, r.P99StartMS)
+	for _, s := range r.Said[:min(len(r.Said), 10)] {
+		fmt.Println("  " + s)
+	}
+	if err := writeJSON(c.JSON, r); err != nil {
+		return err
+	}
+	if r.Lost > 0 || !r.Linearizable || r.Committed == 0 {
+		return fmt.Errorf("%d acknowledged writes lost; linearizable %v, checked %v", r.Lost, r.Linearizable, r.Checked)
+	}
+	return nil
+}
+
+func quantileMS(list []time.Duration, q float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	list = slices.Sorted(slices.Values(list))
+	return float64(list[min(int(q*float64(len(list))), len(list)-1)].Microseconds()) / 1000
+}
+
+// replicatePlay is one play's faults.
+type replicatePlay struct {
+	c      *replicateCmd
+	w      *fleet.Works
+	chance *rand.Rand
+	kinds  map[string]int
+	starts []time.Duration
+	caught []time.Duration
+}
+
+// start starts a member again, and notes how long that takes and until it has caught up with where the log is now.
+func (p *replicatePlay) start(ctx context.Context, i int) error {
+	var want uint64
+	for j := range p.c.Coordinators {
+		if j != i && p.w.Up(j) {
+			if at, _, err := p.w.Applied(ctx, j); err == nil {
+				want = max(want, at)
+			}
+		}
+	}
+	begun := time.Now()
+	if err := p.w.Start(ctx, i); err != nil {
+		return err
+	}
+	p.starts = append(p.starts, time.Since(begun))
+	for end := time.Now().Add(15 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		at, _, err := p.w.Applied(ctx, i)
+		if err == nil && at >= want {
+			p.caught = append(p.caught, time.Since(begun))
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s has applied the log up to %d 15 s after its start, %d was there before: %v", fleet.PeerName(i), at, want, err)
+		}
+	}
+}
+
+// leader is who leads the store by the first that answers, else anybody.
+func (p *replicatePlay) leader(ctx context.Context) int {
+	for i := range p.c.Coordinators {
+		if !p.w.Up(i) {
+			continue
+		}
+		if _, leader, err := p.w.Applied(ctx, i); err == nil {
+			for j := range p.c.Coordinators {
+				if fleet.PeerName(j) == leader {
+					return j
+				}
+			}
+		}
+	}
+	return p.chance.IntN(p.c.Coordinators)
+}
+
+func (p *replicatePlay) fault(ctx context.Context) (err error) {
+	w, n := p.w, p.c.Coordinators
+	some := p.chance.IntN(n)
+	if p.chance.IntN(2) == 0 {
+		some = p.leader(ctx)
+	}
+	while := time.Duration(50+p.chance.IntN(900)) * time.Millisecond
+	f := []proxy.Fault{proxy.Drop, proxy.Cut, proxy.Reset, proxy.Delay, proxy.DropUp, proxy.DropDown}[p.chance.IntN(6)]
+	kind := ""
+	switch k := p.chance.IntN(20); {
+	case k < 5:
+		kind = "kill"
+		if err = w.Kill(some); err == nil {
+			time.Sleep(while / 2)
+			err = p.start(ctx, some)
+		}
+	case k < 9:
+		kind = "stall"
+		if err = w.Stall(some, true); err == nil {
+			time.Sleep(while)
+			err = w.Stall(some, false)
+		}
+	case k < 13:
+		kind = "isolate " + f.String()
+		w.Isolate(some, f)
+		time.Sleep(while)
+		w.Isolate(some, proxy.Pass)
+	case k < 16:
+		kind = "one way " + f.String()
+		to := (some + 1 + p.chance.IntN(n-1)) % n
+		w.Cut(some, to, f)
+		time.Sleep(while)
+		w.Cut(some, to, proxy.Pass)
+	case k < 18:
+		kind = "split"
+		set := func(f proxy.Fault) {
+			for i := range n {
+				for j := range n {
+					if i != j && (i < 2) != (j < 2) {
+						w.Cut(i, j, f)
+					}
+				}
+			}
+		}
+		set(proxy.Drop)
+		time.Sleep(while)
+		set(proxy.Pass)
+	case k < 19:
+		kind = "end"
+		if err = w.End(some); err == nil {
+			err = p.start(ctx, some)
+		}
+	default:
+		kind = "all killed"
+		for i := range n {
+			if err == nil {
+				err = w.Kill(i)
+			}
+		}
+		for i := range n {
+			if err == nil {
+				err = w.Start(ctx, i)
+			}
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", kind, err)
+	}
+	p.kinds[kind]++
+	return nil
+}
--- a/cmd/gullfall/store.go
+++ b/cmd/gullfall/store.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"os"
 	"slices"
@@ -16,7 +17,9 @@
 	"time"
 
 	"gullfall/internal/admin"
+	"gullfall/internal/config"
 	"gullfall/internal/gossip"
+	"gullfall/internal/replica"
 	"gullfall/internal/store"
 	"gullfall/internal/swim"
 )
@@ -82,6 +85,17 @@
 // storeCommands adds the commands of the store; kept is this coordinator's member.
 func storeCommands(commands map[string]admin.Command, kept *store.Store, talk *gossip.Gossip) {
 	commands["store"] = func(context.Context, json.RawMessage) (any, error) { return viewOfStore(kept.Status(), talk), nil }
+	for name, do := range map[string]func(context.Context, *store.Store, note) (note, error){"store put": takeNote, "store get": readNote} {
+		commands[name] = func(ctx context.Context, args json.RawMessage) (any, error) {
+			var n note
+			if err := json.Unmarshal(args, &n); err != nil {
+				return nil, err
+			}
+			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(workTime))
+			defer cancel()
+			return do(ctx, kept, n)
+		}
+	}
 	commands["store change"] = func(ctx context.Context, args json.RawMessage) (any, error) {
 		var c store.MemberChange
 		if err := json.Unmarshal(args, &c); err != nil {
@@ -103,11 +117,83 @@
 	}
 }
 
+// noteKey begins the keys of operators' notes, which share the store with what is settled there.
+const noteKey = "notes/"
+
+// mostNote bounds a note, in bytes.
+const mostNote = 4096
+
+// note is a value under a key of the operators' own.
+type note struct {
+	Key, Value string
+	Revision   uint64  // 0: there is none
+	If         *uint64 // put only where this is the revision
+	Stale      bool    // read what is applied here
+	Conflict   string  // why it was not put
+}
+
+func takeNote(ctx context.Context, kept *store.Store, n note) (note, error) {
+	c := replica.Command{Put: []replica.Pair{{Key: noteKey + n.Key, Value: []byte(n.Value)}}}
+	if n.Key == "" || n.Value == "" || len(n.Value) > mostNote {
+		return n, fmt.Errorf("a note needs a key, and a value of 1 to %d bytes", mostNote)
+	}
+	if n.If != nil {
+		c.If = []replica.Cond{{Key: noteKey + n.Key, Revision: *n.If}}
+	}
+	r, err := kept.Do(ctx, c)
+	switch {
+	case err != nil:
+		return n, fmt.Errorf("the store did not answer in time, so it may or may not have been taken: %w", err)
+	case r.Failed == replica.Conflict:
+		n.Conflict = r.Why
+		return n, nil
+	}
+	n.Revision = r.Index
+	return n, r.Err()
+}
+
+func readNote(ctx context.Context, kept *store.Store, n note) (note, error) {
+	if !n.Stale {
+		if err := kept.Sync(ctx); err != nil {
+			return n, fmt.Errorf("the store was not heard in time; --stale shows what is known here: %w", err)
+		}
+	}
+	kept.Look(func(st *replica.State) {
+		e, _ := st.Get(noteKey + n.Key)
+		n.Value, n.Revision = string(e.Value), e.Revision
+	})
+	return n, nil
+}
+
 type storeCmd struct {
-	Show   storeShowCmd   `cmd:"" default:"withargs" help:"Show the members of the coordinators' store, and who is proposed for removal."`
-	Add    storeAddCmd    `cmd:"" help:"Let a coordinator join as a learner; its own file names it as one."`
-	Vote   storeVoteCmd   `cmd:"" help:"Give the coordinator behind the socket a vote, once it has caught up."`
-	Remove storeRemoveCmd `cmd:"" help:"Take a member that is gone for good out of the store."`
+	Note    storeNoteCmd    `cmd:"" help:"Read a small value of your own from the store, or put one there."`
+	Show    storeShowCmd    `cmd:"" default:"withargs" help:"Show the members of the coordinators' store, and who is proposed for removal."`
+	Add     storeAddCmd     `cmd:"" help:"Let a coordinator join as a learner; its own file names it as one."`
+	Vote    storeVoteCmd    `cmd:"" help:"Give the coordinator behind the socket a vote, once it has caught up."`
+	Recover storeRecoverCmd `cmd:"" help:"Where more than half of the votes are gone for good: go on with this member's copy alone."`
+	Remove  storeRemoveCmd  `cmd:"" help:"Take a member that is gone for good out of the store."`
+}
+
+type storeRecoverCmd struct {
+	Alone bool `required:"" help:"Confirms that the other votes are gone for good: what only they had is lost, and they must not run again with what they hold."`
+}
+
+// Run makes this coordinator's copy the store; the coordinator must not run.
+func (c storeRecoverCmd) Run() error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	deploy, err := config.LoadDeploy(config.DeployFile, cfg.Name)
+	if err != nil {
+		return err
+	}
+	index, err := store.Recover(deploy.Store, cfg.Name, slog.Default())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s is the store's only member, with all up to %d; start it, then add the others as new ones: empty store.directory, `gullfall store add`\n", cfg.Name, index)
+	return nil
 }
 
 type storeShowCmd struct {
@@ -177,3 +263,33 @@
 	}
 	return c.change(store.MemberChange{What: store.Remove, Name: c.Name}, c.Name+" is no member of the store any more")
 }
+
+type storeNoteCmd struct {
+	socketFlag
+	Key   string  `arg:"" help:"The note's key."`
+	Value string  `arg:"" optional:"" help:"Its value; without one it is read."`
+	If    *uint64 `help:"Put it only where this is the revision that was read; 0 for none yet."`
+	Stale bool    `help:"Read what is known here, without asking the store's leader."`
+	JSON  bool    `name:"json" help:"For machines."`
+}
+
+// Run reads or puts a note.
+func (c storeNoteCmd) Run() error {
+	command, n := "store get", note{Key: c.Key, Value: c.Value, If: c.If, Stale: c.Stale}
+	if c.Value != "" {
+		command = "store put"
+	}
+	if err := c.ask(command, n, &n); err != nil {
+		return err
+	}
+	switch {
+	case n.Conflict != "":
+		return errors.New(n.Conflict)
+	case c.JSON:
+		return json.NewEncoder(os.Stdout).Encode(n)
+	case n.Revision == 0:
+		return fmt.Errorf("there is no note %q", c.Key)
+	}
+	fmt.Printf("%d\t%s\n", n.Revision, n.Value)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/fleet/clients.go
@@ -0,0 +1,139 @@
+package fleet
+
+// This file owns the clients of the coordinators' store in the lab: they read, put and swap values at whichever coordinator, and
+// keep what came of it. It must never take an answer that did not come for a refusal.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gullfall/internal/admin"
+	"gullfall/internal/lab/linear"
+)
+
+// storeNote is a note as the program's admin socket takes and gives it.
+type storeNote struct {
+	Key, Value string
+	Revision   uint64
+	If         *uint64 `json:",omitempty"`
+	Stale      bool
+	Conflict   string
+}
+
+// StoreClients work on the store until ctx ends. Keys change with each epoch, so that the history of each stays short enough to check.
+type StoreClients struct {
+	Works   *Works
+	History *linear.History
+	Clients int
+	Keys    int           // in an epoch
+	Epoch   time.Duration //
+	Pause   time.Duration // of a client, between two operations
+	Timeout time.Duration // of an operation
+	Seed    uint64
+
+	start time.Time
+}
+
+// Run runs them.
+func (c *StoreClients) Run(ctx context.Context) {
+	c.start = time.Now()
+	done := make(chan struct{})
+	for i := range c.Clients {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			c.client(ctx, i)
+		}()
+	}
+	for range c.Clients {
+		<-done
+	}
+}
+
+func (c *StoreClients) client(ctx context.Context, client int) {
+	chance := rand.New(rand.NewPCG(c.Seed, uint64(client)+100))
+	for n := 0; ctx.Err() == nil; n++ {
+		i := chance.IntN(len(c.Works.Coords))
+		epoch := int(time.Since(c.start) / c.Epoch)
+		key := fmt.Sprintf("%d-%d", epoch, chance.IntN(c.Keys))
+		value := fmt.Sprintf("%d.%d", client, n)
+		switch k := chance.IntN(10); {
+		case k < 4:
+			c.get(ctx, client, i, key)
+		case k < 7:
+			c.put(ctx, client, i, linear.Op{Client: client, Kind: linear.Put, Key: key, Value: value}, nil)
+		default:
+			if old, ok := c.get(ctx, client, i, key); ok {
+				c.put(ctx, client, (i+chance.IntN(2))%len(c.Works.Coords), linear.Op{Client: client, Kind: linear.Swap, Key: key, Old: old.Value, Value: value}, &old.Revision)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(chance.Int64N(int64(2*c.Pause) + 1))):
+		}
+	}
+}
+
+func (c *StoreClients) get(ctx context.Context, client, i int, key string) (n storeNote, ok bool) {
+	o := linear.Op{Client: client, Kind: linear.Get, Key: key, Call: time.Since(c.start)}
+	n, err := c.Works.Note(ctx, i, "get", storeNote{Key: key}, time.Now().Add(c.Timeout))
+	o.End, o.Value, o.Unknown = time.Since(c.start), n.Value, err != nil
+	c.History.Add(o)
+	return n, err == nil
+}
+
+func (c *StoreClients) put(ctx context.Context, client, i int, o linear.Op, revision *uint64) {
+	o.Call = time.Since(c.start)
+	n, err := c.Works.Note(ctx, i, "put", storeNote{Key: o.Key, Value: o.Value, If: revision}, time.Now().Add(c.Timeout))
+	o.End, o.Done, o.Unknown = time.Since(c.start), err == nil && n.Conflict == "", err != nil
+	c.History.Add(o)
+}
+
+// Final reads every key that was ever written, at one coordinator.
+func (c *StoreClients) Final(ctx context.Context, i int) (map[string]string, error) {
+	values := map[string]string{}
+	for epoch := range int(time.Since(c.start)/c.Epoch) + 1 {
+		for k := range c.Keys {
+			key := fmt.Sprintf("%d-%d", epoch, k)
+			n, ok := c.get(ctx, -1, i, key)
+			if !ok {
+				return nil, fmt.Errorf("%s is not read in the end", key)
+			}
+			values[key] = n.Value
+		}
+	}
+	return values, nil
+}
+
+// Note puts or gets a note at a coordinator.
+func (w *Works) Note(ctx context.Context, i int, word string, n storeNote, end time.Time) (got storeNote, err error) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	return got, admin.Call(ctx, w.socket(i), "store "+word, n, &got)
+}
+
+// Applied is up to which place in the store's log a coordinator has applied it, and who leads by it.
+func (w *Works) Applied(ctx context.Context, i int) (index uint64, leader string, err error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
+	defer cancel()
+	var v struct {
+		Applied uint64 `json:"applied"`
+		Leader  string `json:"leader"`
+	}
+	err = admin.Call(ctx, w.socket(i), "store", nil, &v)
+	return v.Applied, v.Leader, err
+}
+
+// Sent is how many bytes have passed between the members of the store.
+func (w *Works) Sent() (n int64) {
+	for _, row := range w.ways {
+		for _, p := range row {
+			if p != nil {
+				c := p.Counts()
+				n += c.Up + c.Down
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/lab/fleet/replicate_test.go
@@ -0,0 +1,113 @@
+package fleet_test
+
+// Five processes of the real program, three votes and two learners of one store, with clients that read, put and swap at all of them
+// while members are killed, stalled and cut off. The long loop is `gullfall-lab replicate`.
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gullfall/internal/lab/fleet"
+	"gullfall/internal/lab/linear"
+	"gullfall/internal/lab/proxy"
+)
+
+func TestStoreIsLinearizable(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "gullfall")
+	if out, err := exec.Command("go", "build", "-o", binary, "gullfall/cmd/gullfall").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(2*time.Minute))
+	defer cancel()
+	w, err := fleet.StartWorks(ctx, fleet.WorksOptions{Coordinators: 5, Voters: 3, PerZone: 4, Rate: 1, Floor: 2, Share: 0.3, Bound: time.Second, Lease: 2 * time.Second,
+		Warm: time.Second, Heartbeat: 300 * time.Millisecond, Work: 300 * time.Millisecond, Binary: binary, Seed: 4})
+	if w != nil {
+		defer func() {
+			if err := w.Stop(); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	clients := &fleet.StoreClients{Works: w, History: &linear.History{}, Clients: 6, Keys: 8, Epoch: 3 * time.Second, Pause: 25 * time.Millisecond, Timeout: 2 * time.Second, Seed: 4}
+	working, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { clients.Run(working) })
+	leader := func() int {
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for i := range 5 {
+				if !w.Up(i) {
+					continue
+				}
+				if _, name, err := w.Applied(ctx, i); err == nil && name != "" {
+					for j := range 5 {
+						if name == fleet.PeerName(j) && w.Up(j) {
+							return j
+						}
+					}
+				}
+			}
+		}
+		t.Fatal("nobody leads")
+		return 0
+	}
+	i := leader()
+	must(w.Kill(i))
+	time.Sleep(time.Second)
+	must(w.Start(ctx, i))
+	i = leader()
+	must(w.Stall(i, true)) // a leader that stands still, and goes on as one of the past
+	time.Sleep(1500 * time.Millisecond)
+	must(w.Stall(i, false))
+	i = leader()
+	w.Isolate(i, proxy.DropUp) // it hears, and is not heard
+	time.Sleep(1500 * time.Millisecond)
+	w.Isolate(i, proxy.Pass)
+	i = leader()
+	for j := range 5 {
+		if j != i { // alone with its writes
+			w.Cut(i, j, proxy.Drop)
+			w.Cut(j, i, proxy.Drop)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for j := range 5 {
+		if j != i {
+			w.Cut(i, j, proxy.Pass)
+			w.Cut(j, i, proxy.Pass)
+		}
+	}
+	for i := range 5 {
+		must(w.Kill(i))
+	}
+	for i := range 5 {
+		must(w.Start(ctx, i))
+	}
+	leader()
+	time.Sleep(time.Second)
+	stop()
+	wg.Wait()
+	time.Sleep(2 * time.Second)
+	final, err := clients.Final(ctx, 4)
+	must(err)
+	if lost := clients.History.Lost(final); len(lost) > 0 {
+		t.Errorf("lost: %v", lost)
+	}
+	all, committed, unknown := clients.History.Counts()
+	if ok, known := clients.History.Check(30 * time.Second); !ok || committed < 50 {
+		t.Errorf("linearizable %v (known %v), %d writes acknowledged", ok, known, committed)
+	}
+	t.Logf("%d operations, %d writes acknowledged, %d without an answer", all, committed, unknown)
+}
--- /dev/null
+++ b/internal/lab/linear/linear_test.go
@@ -0,0 +1,44 @@
+package linear
+
+import (
+	"testing"
+	"time"
+)
+
+// TestCheck: histories that could and could not have happened; a write without an answer may take effect late, or never.
+func TestCheck(t *testing.T) {
+	at := func(k Kind, old, value string, done, unknown bool, call, end time.Duration) Op {
+		return Op{Kind: k, Key: "k", Old: old, Value: value, Done: done, Unknown: unknown, Call: call, End: end}
+	}
+	for _, c := range []struct {
+		name string
+		ops  []Op
+		want bool
+		lost int // with the last Get as what is read in the end
+	}{
+		{"write, then read", []Op{at(Put, "", "a", false, false, 0, 1), at(Get, "", "a", false, false, 2, 3)}, true, 0},
+		{"a read of what was overwritten", []Op{at(Put, "", "a", false, false, 0, 1), at(Put, "", "b", false, false, 2, 3), at(Get, "", "a", false, false, 4, 5)}, false, 1},
+		{"an acknowledged write that is gone", []Op{at(Put, "", "a", false, false, 0, 1), at(Get, "", "", false, false, 2, 3)}, false, 1},
+		{"at once, either way", []Op{at(Put, "", "a", false, false, 0, 3), at(Get, "", "", false, false, 1, 2)}, true, 0},
+		{"a write without an answer that is read later", []Op{at(Put, "", "a", false, true, 0, 1), at(Get, "", "", false, false, 2, 3), at(Get, "", "a", false, false, 4, 5)}, true, 0},
+		{"one that comes and goes", []Op{at(Put, "", "a", false, true, 0, 1), at(Get, "", "a", false, false, 2, 3), at(Get, "", "", false, false, 4, 5)}, false, 0},
+		{"two swaps of one value", []Op{at(Swap, "", "a", true, false, 0, 1), at(Swap, "", "b", true, false, 2, 3)}, false, 0},
+		{"a swap that was refused, rightly", []Op{at(Put, "", "a", false, false, 0, 1), at(Swap, "", "b", false, false, 2, 3)}, true, 0},
+		{"and wrongly", []Op{at(Swap, "", "b", false, false, 2, 3)}, false, 0},
+	} {
+		var h History
+		final := map[string]string{}
+		for _, o := range c.ops {
+			h.Add(o)
+			if o.Kind == Get {
+				final = map[string]string{"k": o.Value}
+			}
+		}
+		if got, known := h.Check(time.Second); got != c.want || !known {
+			t.Errorf("%s: linearizable %v (known %v), want %v", c.name, got, known, c.want)
+		}
+		if got := h.Lost(final); c.lost > 0 && len(got) != c.lost {
+			t.Errorf("%s: lost %v, want %d", c.name, got, c.lost)
+		}
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -314,3 +314,57 @@
 		}
 	}
 }
+
+// TestRecover: with two votes of three gone for good the third goes on alone on an operator's word, with all that it had; not while it
+// runs, and not from nothing.
+func TestRecover(t *testing.T) {
+	var peers []config.Peer
+	var cfgs []config.Store
+	for i := range 3 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, config.Peer{Name: fmt.Sprintf("n%d", i), Addr: ln.Addr().String()})
+		ln.Close()
+	}
+	var all []*Store
+	for i := range peers {
+		cfgs = append(cfgs, config.Store{Directory: t.TempDir(), Listen: peers[i].Addr, Peer: peers, Heartbeat: config.Span(300 * time.Millisecond)})
+		all = append(all, open(t, cfgs[i], peers[i].Name))
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(60*time.Second))
+	defer cancel()
+	for i := range 50 { // enough for a snapshot beside the log
+		r, err := all[i%3].Do(ctx, replica.Command{Put: []replica.Pair{{Key: "k", Value: fmt.Append(nil, i)}}})
+		if err := errors.Join(err, r.Err()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, all[2], "k", "49")
+	if _, err := Recover(cfgs[2], "n2", quiet); err == nil || !strings.Contains(err.Error(), "end the coordinator") {
+		t.Errorf("while it runs: %v", err)
+	}
+	for _, s := range all {
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := Recover(config.Store{Directory: t.TempDir(), Listen: peers[0].Addr}, "n0", quiet); err == nil || !strings.Contains(err.Error(), "holds no store") {
+		t.Errorf("from nothing: %v", err)
+	}
+	if _, err := Recover(cfgs[2], "n2", quiet); err != nil {
+		t.Fatal(err)
+	}
+	s := open(t, cfgs[2], "n2")
+	defer s.Close()
+	r, err := s.Do(ctx, replica.Command{Put: []replica.Pair{{Key: "after", Value: []byte("alone")}}})
+	if err := errors.Join(err, r.Err()); err != nil {
+		t.Fatal(err)
+	}
+	until(t, s, "k", "49")
+	until(t, s, "after", "alone")
+	if d := s.Status().Peers; len(d) != 1 || d["n2"] != "voter" {
+		t.Errorf("members: %v", d)
+	}
+}
