Membership: a verdict without cuts and deaths is told without looking over all members

At 1,000 members in virtual time a profile had 27% of the time in Verdict, taken once a period by each member, and 11% in looking a name up in the order of probes (enrol). Where no link is cut and nobody is dead the verdict follows from the count; a member knows whether it is in the order.

--- a/internal/swim/links.go
+++ b/internal/swim/links.go
@@ -207,6 +207,10 @@
 			cut[k[1]]++
 		}
 	}
+	if len(cut) == 0 && s.states[Dead] == 0 { // as it is nearly always
+		v.Here, v.Majority = v.Known, true
+		return v
+	}
 	// Who has no cut link is reached by everybody else without one; only the others need a walk.
 	var plain, rest []string
 	var lost []time.Duration
--- a/internal/swim/state.go
+++ b/internal/swim/state.go
@@ -106,7 +106,7 @@
 		m.Incarnation = 0
 		s.members[u.Name] = m
 		s.states[Left]++
-		s.enrol(u.Name)
+		s.enrol(m)
 		s.moved(m, u, true, why)
 		return
 	}
@@ -129,7 +129,7 @@
 		u.Incarnation = max(u.Incarnation, m.Incarnation+1)
 		m.gaps, m.missed, m.vain, m.heard, m.reached = gaps{}, 0, 0, 0, 0
 		if m.State == Left {
-			s.enrol(u.Name)
+			s.enrol(m)
 		}
 		s.moved(m, u, false, "another process has taken its place")
 		return
@@ -141,18 +141,20 @@
 		return
 	}
 	if m.State == Left {
-		s.enrol(u.Name)
+		s.enrol(m)
 	}
 	s.moved(m, u, false, why)
 }
 
 // enrol gives a member a place in the order of probes, anywhere, so that no two members probe in step.
-func (s *Swim) enrol(name string) {
-	if !slices.Contains(s.order, name) {
-		i := s.rng.IntN(len(s.order) + 1)
-		if s.order = slices.Insert(s.order, i, name); i < s.next {
-			s.next++
-		}
+func (s *Swim) enrol(m *member) {
+	if m.ordered {
+		return
+	}
+	m.ordered = true
+	i := s.rng.IntN(len(s.order) + 1)
+	if s.order = slices.Insert(s.order, i, m.Name); i < s.next {
+		s.next++
 	}
 }
 
@@ -178,6 +180,7 @@
 		if u.State == Left {
 			s.soon(s.now + s.c.Reap)
 			if i := slices.Index(s.order, u.Name); i >= 0 {
+				m.ordered = false
 				if s.order = slices.Delete(s.order, i, i+1); i < s.next {
 					s.next--
 				}
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -210,6 +210,7 @@
 	reached  time.Duration // last direct ack
 	rtt      time.Duration
 	gaps     gaps
+	ordered  bool          // it is in the order of probes
 	missed   int           // direct acks in a row
 	missedAt time.Duration // the first of them
 	vain     int           // probes in a row that nobody answered
