Lab: hung up on it goes on, killed it takes its coordinators with it

As the shell ended, its jobs became an orphaned process group; one coordinator in it was stopped (SIGSTOP is one of the faults), and the kernel then sends the whole group SIGHUP. The coordinators take that as a reload, gullfall-lab ended by it.

It ignores SIGHUP now, and coordinators are started so that the kernel ends them with the lab (Pdeathsig). TestNoProcessIsLeft hangs up on a lab and kills it; without the change its coordinator stays.

--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 )
@@ -27,6 +29,9 @@
 }
 
 func main() {
+	// A shell that ends leaves its background jobs as an orphaned process group, and where one of that is stopped, as the lab stops
+	// coordinators, the kernel sends all of it SIGHUP.
+	signal.Ignore(syscall.SIGHUP)
 	var c commands
 	k := kong.Parse(&c, kong.Name("gullfall-lab"), kong.Description("Shows and measures gullfall among stand-ins, on loopback."),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
--- /dev/null
+++ b/cmd/gullfall-lab/orphans_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestNoProcessIsLeft: a lab that is hung up on goes on; one that is killed takes the coordinators that it started with it.
+func TestNoProcessIsLeft(t *testing.T) {
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", dir, "gullfall/cmd/gullfall", "gullfall/cmd/gullfall-lab").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	lab := exec.Command(filepath.Join(dir, "gullfall-lab"), "demo", "--for", "60s")
+	lab.Env = append(os.Environ(), "TMPDIR="+dir)
+	if err := lab.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer lab.Process.Kill()
+	wait := func(what string, met func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !met(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: never", what)
+			}
+		}
+	}
+	var child int
+	wait("a coordinator runs", func() bool {
+		lists, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(lab.Process.Pid), "task", "*", "children"))
+		for _, f := range lists {
+			raw, _ := os.ReadFile(f)
+			if words := strings.Fields(string(raw)); len(words) > 0 {
+				child, _ = strconv.Atoi(words[0])
+			}
+		}
+		return child > 0
+	})
+	runs := func() bool {
+		raw, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(child), "stat"))
+		return err == nil && !bytes.Contains(raw, []byte(") Z "))
+	}
+	lab.Process.Signal(syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond)
+	if !runs() || lab.Process.Signal(syscall.Signal(0)) != nil {
+		t.Error("the lab ended by SIGHUP")
+	}
+	lab.Process.Kill()
+	lab.Wait()
+	wait("the coordinator ends with the lab", func() bool { return !runs() })
+}
--- a/internal/lab/fleet/coordinator.go
+++ b/internal/lab/fleet/coordinator.go
@@ -54,6 +54,7 @@
 	c.cmd.Dir, c.cmd.Stderr, c.cmd.Stdout = c.dir, log, log
 	c.cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(c.dir, "config.json"), "NODE_NAME=", "NODE_LISTEN=",
 		"NODE_DISCOVERY=")
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // should the lab be killed itself
 	if err := c.cmd.Start(); err != nil {
 		c.cmd = nil
 		return c, fmt.Errorf("starting %s: %w; build it with: go build -o bin/ ./cmd/...", binary, err)
