--- a/internal/lab/fleet/work.go
+++ b/internal/lab/fleet/work.go
@@ -40,8 +40,10 @@
 // WorkColdBound is how many parts a cold data node of these bears in its first second, from all coordinators together. By the
 // lab's settings it falls at FallMultiple (2) times what it can do at that moment for a second, one part at a time, which is
 // StartCapacity (0.3) of all at first and all of it after warm; to that N comes what chance adds, 3 roots of N and 3.
-func WorkColdBound(warm time.Duration) float64 {
-	n := 2 * (0.3 + 0.7*min(1, 0.5*float64(time.Second)/float64(warm))) * float64(time.Second) / float64(WorkTakes)
+func WorkColdBound(warm time.Duration) float64 { return coldBound(WorkTakes, warm) }
+
+func coldBound(takes, warm time.Duration) float64 {
+	n := 2 * (0.3 + 0.7*min(1, 0.5*float64(time.Second)/float64(warm))) * float64(time.Second) / float64(takes)
 	return n + 3*math.Sqrt(n) + 3
 }
 
