Store: a member that ends no longer waits for answers that the log never gives

A leader under many commands, closed in a test (TestCloseUnderLoad), hung on the first of four rounds; its stacks have 135 goroutines in (*deferError).Error under store.lead. What raft.Apply has put into the library's queue and the leader has not begun as the log is shut down is never answered, and lead waited for it without end; the layer's Close waits for the calls that it serves, so the process never ended.

lead and changes of members now wait until the caller's time is over or the store ends (await).

--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -82,7 +82,7 @@
 }
 
 // changeMember makes a change at the leader.
-func (s *Store) changeMember(c MemberChange, end time.Time) (replica.Result, error) {
+func (s *Store) changeMember(ctx context.Context, c MemberChange, end time.Time) (replica.Result, error) {
 	no := func(format string, args ...any) (replica.Result, error) {
 		return replica.Result{Failed: unfit, Why: fmt.Sprintf(format, args...)}, nil
 	}
@@ -109,12 +109,12 @@
 		if _, _, err := net.SplitHostPort(c.Addr); err != nil || c.Name == "" {
 			return no("a member needs a name and an address as 127.0.0.1:8300; got %q, %q", c.Name, c.Addr)
 		}
-		return replica.Result{}, s.raft.AddNonvoter(raft.ServerID(c.Name), raft.ServerAddress(c.Addr), 0, left).Error()
+		return replica.Result{}, s.await(ctx, s.raft.AddNonvoter(raft.ServerID(c.Name), raft.ServerAddress(c.Addr), 0, left))
 	case GiveVote:
 		if !known || p.Suffrage == raft.Voter {
 			return no("%q is no learner of the store", c.Name)
 		}
-		return replica.Result{}, s.raft.AddVoter(p.ID, p.Address, 0, left).Error()
+		return replica.Result{}, s.await(ctx, s.raft.AddVoter(p.ID, p.Address, 0, left))
 	case Remove:
 		if !known {
 			return no("no member %q", c.Name)
@@ -122,7 +122,7 @@
 		if p.Suffrage == raft.Voter && votes == 1 {
 			return no("%q has the last vote; give another member one first", c.Name)
 		}
-		return replica.Result{}, s.raft.RemoveServer(p.ID, 0, left).Error()
+		return replica.Result{}, s.await(ctx, s.raft.RemoveServer(p.ID, 0, left))
 	}
 	return no("%q is no change of a member; %s, %s and %s are", c.What, AddLearner, GiveVote, Remove)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -258,10 +258,10 @@
 		end = time.Now().Add(longest)
 	}
 	if c.Member != nil {
-		return s.changeMember(*c.Member, end)
+		return s.changeMember(ctx, *c.Member, end)
 	}
 	if c.Command == nil {
-		if err := s.raft.Barrier(time.Until(end)).Error(); err != nil {
+		if err := s.await(ctx, s.raft.Barrier(time.Until(end))); err != nil {
 			return r, err
 		}
 		s.mu.Lock()
@@ -280,7 +280,7 @@
 		return r, err
 	}
 	f := s.raft.Apply(data, time.Until(end))
-	if err := f.Error(); err != nil {
+	if err := s.await(ctx, f); err != nil {
 		return r, err
 	}
 	if r, ok = f.Response().(replica.Result); !ok {
@@ -289,6 +289,21 @@
 	return r, nil
 }
 
+// await waits for the log's answer until ctx ends or the store does: what the log has taken in and not begun as it is shut down it
+// never answers.
+func (s *Store) await(ctx context.Context, f raft.Future) error {
+	answer := make(chan error, 1)
+	go func() { answer <- f.Error() }()
+	select {
+	case err := <-answer:
+		return err
+	case <-s.ended:
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Sync returns once this member has applied everything that was done before the call, wherever that was.
 func (s *Store) Sync(ctx context.Context) error {
 	for {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -368,3 +368,55 @@
 		t.Errorf("members: %v", d)
 	}
 }
+
+// TestCloseUnderLoad: a leader that is closed while others put commands to it ends at once, whatever it has taken in and not begun.
+func TestCloseUnderLoad(t *testing.T) {
+	for range 4 {
+		all, _ := fleetOf(t)
+		ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(60*time.Second))
+		var leader *Store
+		for leader == nil && ctx.Err() == nil {
+			for _, s := range all {
+				if s.Status().State == "Leader" {
+					leader = s
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		var wg sync.WaitGroup
+		working, stop := context.WithCancel(ctx)
+		for _, s := range all {
+			for range 40 {
+				wg.Go(func() {
+					for working.Err() == nil {
+						one, end := context.WithDeadline(working, time.Now().Add(2*time.Second))
+						s.Do(one, replica.Command{Put: []replica.Pair{{Key: "k", Value: []byte("v")}}})
+						end()
+					}
+				})
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		closed := make(chan error, 1)
+		go func() { closed <- leader.Close() }()
+		select {
+		case err := <-closed:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(15 * time.Second):
+			t.Error("the leader does not end")
+		}
+		stop()
+		wg.Wait()
+		for _, s := range all {
+			if s != leader {
+				s.Close()
+			}
+		}
+		cancel()
+		if t.Failed() {
+			return
+		}
+	}
+}
