Learned state: copies of what coordinators learn of data nodes, merged by a rule for each field

Facts of a clock that has jumped, too old, or that are none are refused by reason; memory is bounded. Nothing starts it yet; the coordinators' talk is to carry it next.

--- /dev/null
+++ b/internal/learned/learned.go
@@ -0,0 +1,307 @@
+// Package learned merges what coordinators learn of data nodes: who failed and who answered, how long answers take, how busy a data
+// node says that it is, and since when it is cold. It owns one coordinator's copy, what of it is news, and when it is too old to count.
+// It must never do I/O, look at a clock, or take something older for something fresh.
+//
+// Each fact has a stamp and an age. Stamps are hybrid logical clocks (Kulkarni and others 2014): they follow each coordinator's clock,
+// never go back, and go beyond every stamp that was heard, so that what was said in the knowledge of something else is later than it.
+// Ages say how long ago something was seen. They are counted by each holder's own clock, which does not jump, and go with the fact; so
+// no two clocks are compared to tell whether something is fresh. The time on the way is not counted: an age is too low by that.
+//
+// The rule of each field, where two copies differ:
+//
+//	failed, answered   the later stamp of each
+//	latency, busy      the later stamp
+//	started            the lower age, so the more cautious: who is held for cold is spared
+//
+// A data node is doubtful where its last failure is younger than Hold and no answer clears it: one that the same coordinator got later,
+// or one whose stamp is later by more than Skew, by which clocks may differ. So of two that see different things at one time the more
+// cautious counts. What is older than Keep counts for nothing and is forgotten. The strong state comes first: a zone that is drained by
+// hand, or a machine in work, is not for this package to say anything of.
+//
+// Work: a fact that comes in costs the looking up of its data node; Facts and Step look over all. Memory: MostNodes data nodes with five
+// facts each; beyond them the one heard of longest ago is let go.
+package learned
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Field is what a fact is about.
+type Field uint8
+
+// The fields.
+const (
+	Failed   Field = iota // a refused or reset connection, a silence
+	Answered              // any answer
+	Latency               // seconds that a part takes
+	Busy                  // share of its cores, by its own report
+	Started               // it started, or came back: cold since then
+	fields
+)
+
+var fieldNames = [fields]string{"failed", "answered", "latency", "busy", "started"}
+
+func (f Field) String() string {
+	if f >= fields {
+		return fmt.Sprintf("field %d", uint8(f))
+	}
+	return fieldNames[f]
+}
+
+// Stamp orders facts over all coordinators.
+type Stamp struct {
+	At int64  // milliseconds, of the clock on the wall or of what was heard beyond it
+	N  uint32 // of equal At
+	By string // coordinator
+}
+
+// Compare orders stamps.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.At, o.At), cmp.Compare(s.N, o.N), cmp.Compare(s.By, o.By))
+}
+
+// Fact is one thing that was seen of a data node.
+type Fact struct {
+	Node  string
+	Field Field
+	Stamp Stamp
+	Age   time.Duration // when it was told
+	Value float64       // of Latency and Busy
+}
+
+// Config are the bounds.
+type Config struct {
+	Self      string
+	Skew      time.Duration // by which the coordinators' clocks differ at most; 500 ms
+	Ahead     time.Duration // a stamp further ahead of our clock is of one that has jumped, and not taken; 1 min
+	Hold      time.Duration // for which a failure makes doubtful; 5 s
+	Keep      time.Duration // for which a fact counts; 1 min
+	Warm      time.Duration // for which a data node is cold; 10 s
+	MostNodes int           // 10,000
+}
+
+func (c Config) defaults() Config {
+	for _, d := range []struct {
+		to *time.Duration
+		by time.Duration
+	}{{&c.Skew, 500 * time.Millisecond}, {&c.Ahead, time.Minute}, {&c.Hold, 5 * time.Second}, {&c.Keep, time.Minute}, {&c.Warm, 10 * time.Second}} {
+		if *d.to == 0 {
+			*d.to = d.by
+		}
+	}
+	if c.MostNodes == 0 {
+		c.MostNodes = 10_000
+	}
+	return c
+}
+
+// Check names the first figure that can't be kept.
+func (c Config) Check() error {
+	c = c.defaults()
+	if c.Self == "" || c.Skew < 0 || c.Ahead <= c.Skew || c.Hold <= 0 || c.Keep < c.Hold || c.Keep < c.Warm || c.MostNodes < 1 {
+		return fmt.Errorf("learned: %+v: Self is named, Ahead is above Skew, Keep is not under Hold and Warm, MostNodes is 1 at least", c)
+	}
+	return nil
+}
+
+// Why a fact was not taken.
+var (
+	ErrForm  = errors.New("not a fact: its node, field, age, value or coordinator can't be")
+	ErrAhead = errors.New("its stamp is ahead of our clock by more than clocks may be")
+	ErrOld   = errors.New("too old to count")
+	ErrKnown = errors.New("known, or something later is")
+)
+
+// held is one fact as it is kept: seen is when it was, by our own clock.
+type held struct {
+	stamp Stamp
+	seen  time.Duration
+	value float64
+	sent  int // how often it was told since it came
+}
+
+type node struct {
+	facts [fields]held
+	heard time.Duration // of it last
+}
+
+// Table is one coordinator's copy. It is not safe for concurrent use.
+type Table struct {
+	c     Config
+	last  Stamp
+	nodes map[string]*node
+}
+
+// New returns an empty copy.
+func New(c Config) (*Table, error) {
+	c = c.defaults()
+	return &Table{c: c, nodes: map[string]*node{}}, c.Check()
+}
+
+// stamp is the next of our own.
+func (t *Table) stamp(wall time.Time) Stamp {
+	s := Stamp{wall.UnixMilli(), 0, t.c.Self}
+	if s.At <= t.last.At {
+		s.At, s.N = t.last.At, t.last.N+1
+	}
+	t.last = s
+	return s
+}
+
+// Saw takes in what this coordinator has seen itself just now, by its own clock and that on the wall.
+func (t *Table) Saw(now time.Duration, wall time.Time, id string, f Field, value float64) error {
+	fact := Fact{Node: id, Field: f, Stamp: t.stamp(wall), Value: value}
+	if !fact.sound() {
+		return ErrForm
+	}
+	t.put(now, fact)
+	return nil
+}
+
+func (f *Fact) sound() bool {
+	return f.Node != "" && len(f.Node) <= 255 && f.Field < fields && f.Age >= 0 && f.Stamp.By != "" && len(f.Stamp.By) <= 255 &&
+		f.Value >= 0 && !math.IsInf(f.Value, 0)
+}
+
+// Take takes in what another coordinator tells.
+func (t *Table) Take(now time.Duration, wall time.Time, f Fact) error {
+	switch {
+	case !f.sound():
+		return ErrForm
+	case f.Stamp.At > wall.UnixMilli()+t.c.Ahead.Milliseconds():
+		return ErrAhead
+	case f.Age >= t.c.Keep:
+		return ErrOld
+	}
+	if f.Stamp.At > t.last.At || f.Stamp.At == t.last.At && f.Stamp.N > t.last.N {
+		t.last = Stamp{f.Stamp.At, f.Stamp.N, t.c.Self}
+	}
+	if !t.put(now, f) {
+		return ErrKnown
+	}
+	return nil
+}
+
+// put keeps a fact where its field's rule prefers it to what is held.
+func (t *Table) put(now time.Duration, f Fact) bool {
+	n := t.nodes[f.Node]
+	if n == nil {
+		t.room()
+		n = &node{}
+		t.nodes[f.Node] = n
+	}
+	n.heard = now
+	old, seen := &n.facts[f.Field], now-f.Age
+	if old.stamp.By != "" {
+		if f.Field == Started {
+			// The same word told by a slower way seems younger: it is the same.
+			if c := f.Stamp.Compare(old.stamp); c == 0 || seen < old.seen || seen == old.seen && c < 0 {
+				return false
+			}
+		} else if f.Stamp.Compare(old.stamp) <= 0 {
+			return false
+		}
+	}
+	*old = held{f.Stamp, seen, f.Value, 0}
+	return true
+}
+
+// room lets go of the data node heard of longest ago, where there are as many as may be.
+func (t *Table) room() {
+	if len(t.nodes) < t.c.MostNodes {
+		return
+	}
+	oldest, at := "", time.Duration(math.MaxInt64)
+	for id, n := range t.nodes {
+		if n.heard < at || n.heard == at && id < oldest {
+			oldest, at = id, n.heard
+		}
+	}
+	delete(t.nodes, oldest)
+}
+
+// Step forgets what is too old.
+func (t *Table) Step(now time.Duration) {
+	for id, n := range t.nodes {
+		empty := true
+		for f := range n.facts {
+			if h := &n.facts[f]; h.stamp.By != "" && now-h.seen >= t.c.Keep {
+				*h = held{}
+			}
+			empty = empty && n.facts[f].stamp.By == ""
+		}
+		if empty {
+			delete(t.nodes, id)
+		}
+	}
+}
+
+// Facts are what is worth telling: what was told least first, and of that the youngest; most of them at most, and each counts as told.
+func (t *Table) Facts(now time.Duration, most int) []Fact {
+	type entry struct {
+		Fact
+		h *held
+	}
+	var list []entry
+	for id, n := range t.nodes {
+		for f := range n.facts {
+			if h := &n.facts[f]; h.stamp.By != "" && now-h.seen < t.c.Keep {
+				list = append(list, entry{Fact{id, Field(f), h.stamp, max(now-h.seen, 0), h.value}, h})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.h.sent, b.h.sent), cmp.Compare(a.Age, b.Age), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Field, b.Field))
+	})
+	var facts []Fact
+	for _, e := range list[:min(most, len(list))] {
+		e.h.sent++
+		facts = append(facts, e.Fact)
+	}
+	return facts
+}
+
+// View is what is held of a data node.
+type View struct {
+	Doubtful bool
+	ColdFor  time.Duration // that it is cold yet; 0 where it is warm or nothing is known
+	Latency  float64       // seconds; below 0 where not known
+	Busy     float64       // below 0 where not known
+}
+
+// Of is what is held of a data node now.
+func (t *Table) Of(now time.Duration, id string) View {
+	v := View{Latency: -1, Busy: -1}
+	n := t.nodes[id]
+	if n == nil {
+		return v
+	}
+	fresh := func(f Field, within time.Duration) (*held, bool) {
+		h := &n.facts[f]
+		return h, h.stamp.By != "" && now-h.seen < min(within, t.c.Keep)
+	}
+	if bad, ok := fresh(Failed, t.c.Hold); ok {
+		good, answered := fresh(Answered, t.c.Keep)
+		clears := answered && good.stamp.Compare(bad.stamp) > 0 &&
+			(good.stamp.By == bad.stamp.By || good.stamp.At > bad.stamp.At+t.c.Skew.Milliseconds())
+		v.Doubtful = !clears
+	}
+	if h, ok := fresh(Started, t.c.Warm); ok {
+		v.ColdFor = t.c.Warm - (now - h.seen)
+	}
+	if h, ok := fresh(Latency, t.c.Keep); ok {
+		v.Latency = h.value
+	}
+	if h, ok := fresh(Busy, t.c.Keep); ok {
+		v.Busy = h.value
+	}
+	return v
+}
+
+// Size is how many data nodes are held.
+func (t *Table) Size() int { return len(t.nodes) }
