Learned state is told: facts of data nodes go between coordinators, and the work on machines counts them

internal/learned had no way between coordinators. The talk now carries facts beside its probes: each end of an attempt or a probe is one (core.OnSight, nothing on the platform), the same once in half a second at most, but a failure after an answer at once; a sealed packet of 1,100 bytes at most to two others each period. Ages are rounded up on the way, so nothing gets younger. gullfall peers learned shows it. For the duty's holder a data node that fails for another coordinator is no sound replica.

Checked: TestFactsEncoding, FuzzDecodeFacts, TestTwo (a failure is told, and an answer clears it), TestSight, TestWorth, and between five processes the case "told by others": a zone cut from one coordinator is doubtful at one that reaches it.

--- a/cmd/gullfall/peers.go
+++ b/cmd/gullfall/peers.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"os"
 	"slices"
@@ -20,7 +21,9 @@
 
 	"gullfall/internal/admin"
 	"gullfall/internal/config"
+	"gullfall/internal/core"
 	"gullfall/internal/gossip"
+	"gullfall/internal/learned"
 	"gullfall/internal/steward"
 	"gullfall/internal/store"
 	"gullfall/internal/swim"
@@ -30,7 +33,7 @@
 const keptPeers = "peers"
 
 // startPeers begins to talk where our own file says so; nil where it does not.
-func startPeers(deploy config.Deploy, cfg config.Config, log *slog.Logger, kept *store.Store) (*gossip.Gossip, error) {
+func startPeers(deploy config.Deploy, cfg config.Config, c *core.Core, log *slog.Logger, kept *store.Store) (*gossip.Gossip, error) {
 	p := deploy.Peers
 	if p.Listen == "" {
 		return nil, nil
@@ -40,7 +43,7 @@
 		return nil, err
 	}
 	process := binary.BigEndian.Uint64(raw[:])
-	o := gossip.Options{Swim: p.Swim(cfg.Name, process, cfg.Seed^process), Fleet: p.Fleet, Keys: p.Keys(), Routes: p.Routes(), Log: log}
+	o := gossip.Options{Swim: p.Swim(cfg.Name, process, cfg.Seed^process), Fleet: p.Fleet, Keys: p.Keys(), Routes: p.Routes(), Log: log, Warm: cfg.Settings.Rules.WarmAfter}
 	var last []string
 	if data := kept.Get(keptPeers + "/" + cfg.Name); len(data) > 0 && json.Unmarshal(data, &last) == nil {
 		o.Swim.Seeds = append(append([]string{}, o.Swim.Seeds...), last...)
@@ -64,6 +67,19 @@
 	if err != nil {
 		return nil, err
 	}
+	c.OnSight(func(s core.Sight) {
+		if s.Failed {
+			talk.Saw(s.Node, learned.Failed, 0)
+			return
+		}
+		talk.Saw(s.Node, learned.Answered, 0)
+		if s.Latency > 0 {
+			talk.Saw(s.Node, learned.Latency, s.Latency.Seconds())
+		}
+		if s.Busy >= 0 {
+			talk.Saw(s.Node, learned.Busy, s.Busy)
+		}
+	})
 	log.Info("watching the other coordinators", "listen", p.Listen, "fleet", p.Fleet)
 	return talk, nil
 }
@@ -108,6 +124,7 @@
 	if talk == nil {
 		return commands
 	}
+	commands["learned"] = func(context.Context, json.RawMessage) (any, error) { return learnedViews(talk.AllLearned()), nil }
 	commands["peers"] = func(context.Context, json.RawMessage) (any, error) {
 		var v peersView
 		if !talk.Look(func(s *swim.Swim) { v = viewOf(s, talk.Since()) }) {
@@ -164,9 +181,53 @@
 	return v
 }
 
+// learnedView is what all coordinators have told of a data node.
+type learnedView struct {
+	Node      string  `json:"node"`
+	Doubtful  bool    `json:"doubtful"`
+	ColdS     float64 `json:"cold_s,omitempty"` // yet
+	LatencyMS float64 `json:"latency_ms"`       // below 0 where not known
+	Busy      float64 `json:"busy"`             // below 0 where not known
+}
+
+func learnedViews(all map[string]learned.View) (list []learnedView) {
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		v := all[id]
+		l := learnedView{id, v.Doubtful, math.Round(v.ColdFor.Seconds()*10) / 10, -1, v.Busy}
+		if v.Latency >= 0 {
+			l.LatencyMS = math.Round(v.Latency*1e4) / 10
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+type peersLearnedCmd struct {
+	socketFlag
+	JSON bool `name:"json" help:"For machines."`
+}
+
+// Run shows what is learned.
+func (p peersLearnedCmd) Run() error {
+	var list []learnedView
+	if err := p.ask("learned", nil, &list); err != nil {
+		return err
+	}
+	if p.JSON {
+		return json.NewEncoder(os.Stdout).Encode(list)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "data node\tdoubtful\tcold_s\tlatency_ms\tbusy")
+	for _, l := range list {
+		fmt.Fprintf(t, "%s\t%v\t%.1f\t%.1f\t%.2f\n", l.Node, l.Doubtful, l.ColdS, l.LatencyMS, l.Busy)
+	}
+	return t.Flush()
+}
+
 type peersCmd struct {
-	Show   peersShowCmd   `cmd:"" default:"withargs" help:"Show who of the coordinators is there, and who reaches whom."`
-	Forget peersForgetCmd `cmd:"" help:"Say that a dead coordinator is gone for good; it no longer counts for the majority."`
+	Learned peersLearnedCmd `cmd:"" help:"Show what all coordinators have told of each data node."`
+	Show    peersShowCmd    `cmd:"" default:"withargs" help:"Show who of the coordinators is there, and who reaches whom."`
+	Forget  peersForgetCmd  `cmd:"" help:"Say that a dead coordinator is gone for good; it no longer counts for the majority."`
 }
 
 type socketFlag struct {
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -133,11 +133,11 @@
 	if err := findNodes(ctx, deploy, cfg, c, log, slots, kept); err != nil {
 		return err
 	}
-	talk, err := startPeers(deploy, cfg, log, kept)
+	talk, err := startPeers(deploy, cfg, c, log, kept)
 	if err != nil {
 		return err
 	}
-	work := startWork(deploy, cfg, c, kept, log)
+	work := startWork(deploy, cfg, c, kept, talk, log)
 	var operators *admin.Server
 	if deploy.Admin.Socket != "" {
 		if operators, err = admin.Serve(deploy.Admin.Socket, commandsOf(talk, work, kept, hands), log); err != nil {
--- a/cmd/gullfall/work.go
+++ b/cmd/gullfall/work.go
@@ -20,20 +20,26 @@
 	"gullfall/internal/admin"
 	"gullfall/internal/config"
 	"gullfall/internal/core"
+	"gullfall/internal/gossip"
+	"gullfall/internal/learned"
 	"gullfall/internal/maintenance"
 	"gullfall/internal/steward"
 	"gullfall/internal/store"
 )
 
 // startWork takes part in the work on machines where our own file says so; nil where it does not.
-func startWork(deploy config.Deploy, cfg config.Config, c *core.Core, kept *store.Store, log *slog.Logger) *steward.Steward {
+func startWork(deploy config.Deploy, cfg config.Config, c *core.Core, kept *store.Store, talk *gossip.Gossip, log *slog.Logger) *steward.Steward {
 	w := deploy.Work
 	if !w.Enabled {
 		return nil
 	}
 	set := cfg.Settings
 	log.Info("taking part in the work on machines", "bound", time.Duration(w.Bound), "lease", time.Duration(w.Lease))
-	return steward.Start(steward.Options{Store: kept, Core: c, Name: cfg.Name, Log: log,
+	var told func(string) learned.View
+	if talk != nil {
+		told = talk.Learned
+	}
+	return steward.Start(steward.Options{Learned: told, Store: kept, Core: c, Name: cfg.Name, Log: log,
 		Layout: maintenance.Layout{Cells: set.Cells, Shards: set.Shards, Reach: set.Reach}, Limits: w.Limits(), Warm: set.Rules.WarmAfter,
 		Longest: longest(set), Bound: time.Duration(w.Bound), Duty: time.Duration(w.Lease), Drift: w.Drift, Duties: w.Duties, Every: time.Duration(w.Every),
 		Hook: w.Hook, HookFor: time.Duration(w.HookTime), Budget: w.Budget})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -174,6 +174,7 @@
 	listed   bool             // some source has told a whole list
 	zones    *zoneWatch       // nil where zones are not watched
 	work     *workWatch       // nil where machines are not taken out for work
+	sight    atomic.Pointer[func(Sight)]
 
 	// The loop's own.
 	agg      *aggregator.Aggregator
@@ -394,6 +395,7 @@
 	c.saw(n, r.Outcome)
 	c.zoneSaw(n, nil, r.Outcome, time.Now())
 	c.workSaw(n, r.Outcome, r.Load, time.Now())
+	c.sighted(n, nil, r.Outcome, r.Load, time.Now())
 	c.log.Debug("probe ended", "node", n.id, "end", words[r.Outcome])
 	c.put(input{event: aggregator.Event{Kind: aggregator.ProbeEnded, Replica: n.id, Outcome: outcomes[r.Outcome],
 		Report: r.Load}})
@@ -572,6 +574,7 @@
 		c.saw(a.node, in.end)
 		c.zoneSaw(a.node, a, in.end, now)
 		c.workSaw(a.node, in.end, in.event.Report, now)
+		c.sighted(a.node, a, in.end, in.event.Report, now)
 		if in.event.Outcome == aggregator.TimedOut && a.why != aggregator.Unknown {
 			in.event.Outcome = a.why
 		}
--- /dev/null
+++ b/internal/core/sight.go
@@ -0,0 +1,39 @@
+package core
+
+// This file owns what core tells of data nodes to whoever passes it on to other coordinators. It must never wait for that.
+
+import "time"
+
+// Sight is what the end of an attempt or a probe shows of a data node.
+type Sight struct {
+	Node    string
+	Failed  bool          // a refused or reset connection; else it answered
+	Latency time.Duration // of an answered attempt; 0 where not known
+	Busy    float64       // as it reported; below 0 where it did not
+}
+
+// OnSight has f told of each from now on. It is called on core's own goroutines and must not block.
+func (c *Core) OnSight(f func(Sight)) { c.sight.Store(&f) }
+
+// sighted passes on how an attempt or a probe ended; a is nil for a probe. An attempt that was given up says nothing.
+func (c *Core) sighted(n *Node, a *Attempt, end Outcome, load map[string]float64, now time.Time) {
+	f := c.sight.Load()
+	if f == nil {
+		return
+	}
+	s := Sight{Node: n.id, Busy: -1}
+	switch end {
+	case Served, Errored, Busy:
+		if u, ok := load["util"]; ok {
+			s.Busy = u
+		}
+		if end == Served && a != nil {
+			s.Latency = now.Sub(a.begun)
+		}
+	case NotConnected, Reset:
+		s.Failed = true
+	default:
+		return
+	}
+	(*f)(s)
+}
--- a/internal/core/work_test.go
+++ b/internal/core/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,6 +81,45 @@
 	}
 }
 
+// TestSight: what is told of the ends of attempts; of one that was given up, nothing.
+func TestSight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ends := map[string]Result{"ok.0": {Outcome: Served, Docs: [][]byte{[]byte("v")}, Load: map[string]float64{"util": 0.5}}, "bad.1": {Outcome: NotConnected},
+			"gone.2": {Outcome: Dropped}}
+		s := newStand(t, 0, func(s *stand, o *Order) {
+			for _, a := range o.Call {
+				time.Sleep(20 * time.Millisecond)
+				s.Report(a, ends[a.ID])
+			}
+		})
+		var mu sync.Mutex
+		var got []Sight
+		s.OnSight(func(x Sight) {
+			mu.Lock()
+			defer mu.Unlock()
+			if got = append(got, x); x.Latency < 0 || x.Latency > 50*time.Millisecond {
+				t.Errorf("latency %v", x.Latency)
+			}
+			got[len(got)-1].Latency = 0
+		})
+		s.ask(t.Context(), "ok", 0)
+		ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(100*time.Millisecond))
+		defer cancel()
+		s.ask(ctx, "gone", 2)
+		ctx, cancel = context.WithDeadline(t.Context(), time.Now().Add(100*time.Millisecond))
+		defer cancel()
+		s.ask(ctx, "bad", 1)
+		synctest.Wait()
+		want := []Sight{{Node: "n1", Busy: 0.5}, {Node: "n1", Failed: true, Busy: -1}}
+		mu.Lock()
+		if d := cmp.Diff(want, got[:min(len(got), 2)]); d != "" {
+			t.Errorf("(-want +got)\n%s", d)
+		}
+		mu.Unlock()
+		s.end()
+	})
+}
+
 // fill has as much open as the settings allow, or no longer.
 func (s *stand) fill(full bool) {
 	s.Core.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/time/rate"
 
+	"gullfall/internal/learned"
 	"gullfall/internal/swim"
 )
 
@@ -35,6 +36,7 @@
 	Keys  []Key
 	// Routes are addresses of members that are reached by another from here, as through a tunnel.
 	Routes map[string]string
+	Warm   time.Duration // that a cold data node needs
 	Log    *slog.Logger
 	// Changed is called for each change, in order, from the goroutine that decides; it must not block. It may be nil.
 	Changed func(swim.Change)
@@ -61,8 +63,15 @@
 	refused string
 	Drops   Drops
 	Traffic Traffic
+	Facts   FactCounts
+
+	facts   sync.Mutex // guards learned
+	learned *learned.Table
 }
 
+// FactCounts counts the facts that others told: taken, known already, and refused.
+type FactCounts struct{ Taken, Known, Refused atomic.Int64 }
+
 // Drops counts what came in and was not used.
 type Drops struct{ Seal, Version, Replay, Form, Full atomic.Int64 }
 
@@ -89,6 +98,9 @@
 	if g.s, err = swim.New(o.Swim, 0); err != nil {
 		return nil, err
 	}
+	if g.learned, err = learned.New(learned.Config{Self: o.Swim.Self, Warm: o.Warm}); err != nil {
+		return nil, err
+	}
 	if g.pc, err = net.ListenPacket("udp", o.Swim.Addr); err != nil {
 		return nil, fmt.Errorf("peers.listen: %w", err)
 	}
@@ -100,6 +112,7 @@
 	g.wg.Go(g.run)
 	g.wg.Go(g.packets)
 	g.wg.Go(g.accept)
+	g.wg.Go(func() { g.tellFacts(max(o.Swim.Period, 50*time.Millisecond)) })
 	return g, nil
 }
 
@@ -277,8 +290,11 @@
 	return addr
 }
 
-func (g *Gossip) send(to string, m *swim.Message) {
-	raw := g.ring.seal(AppendMessage(nil, m))
+func (g *Gossip) send(to string, m *swim.Message) { g.sendRaw(to, AppendMessage(nil, m)) }
+
+// sendRaw seals and sends a packet.
+func (g *Gossip) sendRaw(to string, plain []byte) {
+	raw := g.ring.seal(plain)
 	addr, err := net.ResolveUDPAddr("udp", g.route(to))
 	if err != nil || !addr.IP.IsLoopback() || len(raw) > mostPacket {
 		g.Drops.Form.Add(1)
@@ -318,7 +334,11 @@
 // decode opens what came in, and counts what is of no use.
 func (g *Gossip) decode(raw []byte) (m *swim.Message, f *swim.Full) {
 	plain, err := g.ring.open(raw)
-	if err == nil {
+	switch {
+	case err != nil:
+	case len(plain) > 0 && plain[0] == factsKind:
+		err = g.takeFacts(plain)
+	default:
 		m, f, err = Decode(plain)
 	}
 	switch {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"gullfall/internal/learned"
 	"gullfall/internal/swim"
 )
 
@@ -56,6 +58,60 @@
 	}
 }
 
+func someFacts(n int) (facts []learned.Fact) {
+	for i := range n {
+		facts = append(facts, learned.Fact{Node: fmt.Sprint("node-", i), Field: learned.Field(i % 5), Stamp: learned.Stamp{At: 1_700_000_000_000, N: uint32(i), By: "n0"},
+			Age: time.Duration(i) * time.Millisecond, Value: 0.25})
+	}
+	return facts
+}
+
+// TestFactsEncoding: facts come out as they went in, as many as a packet holds; any cut of it is none; an age is never rounded down.
+func TestFactsEncoding(t *testing.T) {
+	facts := someFacts(100)
+	raw, n := AppendFacts(nil, facts)
+	got, err := DecodeFacts(raw)
+	if diff := cmp.Diff(facts[:n], got); err != nil || diff != "" || n < 20 || len(raw)+overhead > mostPacket {
+		t.Errorf("error %v, %d facts in %d bytes (-want +got)\n%s", err, n, len(raw), diff)
+	}
+	for i := range raw {
+		if _, err := DecodeFacts(raw[:i]); !errors.Is(err, errForm) {
+			t.Fatalf("cut at %d of %d: %v", i, len(raw), err)
+		}
+	}
+	if _, err := DecodeFacts(append(raw, 0)); !errors.Is(err, errForm) {
+		t.Errorf("a byte too many: %v", err)
+	}
+	short := facts[:1]
+	short[0].Age = 1500 * time.Microsecond
+	raw, _ = AppendFacts(nil, short)
+	if got, err := DecodeFacts(raw); err != nil || got[0].Age != 2*time.Millisecond {
+		t.Errorf("%v, %v", got, err)
+	}
+}
+
+// FuzzDecodeFacts: whatever comes in, it is facts that encode to themselves, or none.
+func FuzzDecodeFacts(f *testing.F) {
+	raw, _ := AppendFacts(nil, someFacts(3))
+	f.Add(raw)
+	f.Add([]byte{factsKind, 0xff, 0xff, 3})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		facts, err := DecodeFacts(raw)
+		if err != nil || len(facts) == 0 {
+			return
+		}
+		for i := range facts {
+			if facts[i].Value != facts[i].Value {
+				return // no number is not equal to itself
+			}
+		}
+		again, n := AppendFacts(nil, facts)
+		if got, err := DecodeFacts(again); err != nil || cmp.Diff(facts[:n], got) != "" {
+			t.Fatalf("error %v\n%s", err, cmp.Diff(facts[:n], got))
+		}
+	})
+}
+
 // FuzzDecode: whatever comes in, it is a message that encodes to itself, or none. It never allocates for a count that can't be.
 func FuzzDecode(f *testing.F) {
 	for _, m := range messages() {
@@ -187,6 +243,16 @@
 		}
 	}
 	until("each holds the other for alive", func() bool { return state(a, "b") == "alive" && state(b, "a") == "alive" })
+	// What one sees of a data node the other learns, until an answer that is clearly later clears it.
+	a.Saw("n", learned.Failed, 0)
+	a.Saw("n", learned.Busy, 0.5)
+	until("a failure is told", func() bool { v := b.Learned("n"); return v.Doubtful && v.Busy == 0.5 })
+	time.Sleep(600 * time.Millisecond)
+	b.Saw("n", learned.Answered, 0)
+	until("and an answer", func() bool { return !a.Learned("n").Doubtful && !b.Learned("n").Doubtful })
+	if a.Facts.Refused.Load()+b.Facts.Refused.Load() > 0 || b.Facts.Taken.Load() == 0 {
+		t.Errorf("facts taken %d, refused %d and %d", b.Facts.Taken.Load(), a.Facts.Refused.Load(), b.Facts.Refused.Load())
+	}
 	nc, err := net.Dial("udp", seed)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/fleet/zones.go
+++ b/internal/lab/fleet/zones.go
@@ -43,6 +43,7 @@
 	Rate         float64 // queries a second at each coordinator
 	Deploy       string  // [zones] of deploy/gullfall.toml
 	Store        bool    // they share a store: three votes, the others learners
+	Talk         bool    // they watch each other, and tell what they learn of data nodes
 	Binary       string
 	Seed         uint64
 }
@@ -62,6 +63,7 @@
 	Coords []*Coordinator
 	fronts []string
 	addrs  []string // of the store's members
+	talks  []string // where they watch each other
 	loads  []*load.Load
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -99,7 +101,7 @@
 		}
 	}
 	for range o.Coordinators {
-		z.addrs = append(z.addrs, free("tcp"))
+		z.addrs, z.talks = append(z.addrs, free("tcp")), append(z.talks, free("tcp"))
 	}
 	for i := range o.Coordinators {
 		z.fronts = append(z.fronts, free("tcp"))
@@ -146,6 +148,10 @@
 // Start starts a coordinator, anew after Kill.
 func (z *Zones) Start(ctx context.Context, i int) (err error) {
 	deploy := fmt.Sprintf("[log]\nlevel = \"debug\"\n[admin]\nsocket = %q\n[zones]\n%s", z.socket(i), z.o.Deploy) // attempts are counted by their debug lines
+	if z.o.Talk {
+		deploy += fmt.Sprintf("[peers]\nlisten = %q\nfleet = \"lab\"\nseeds = [%q, %q]\nperiod = \"200ms\"\ntimeout = \"50ms\"\n[[peers.key]]\nid = 1\nsecret = \"AAECAwQFBgcICQoLDA0ODw==\"\n",
+			z.talks[i], z.talks[0], z.talks[1])
+	}
 	if z.o.Store {
 		deploy += fmt.Sprintf("[store]\ndirectory = %q\nlisten = %q\nheartbeat = \"500ms\"\n", filepath.Join(z.folder, "store-"+PeerName(i)), z.addrs[i])
 		for j, addr := range z.addrs {
@@ -220,6 +226,22 @@
 	return views, err
 }
 
+// Learned tells which data nodes are doubtful by what all coordinators have told one.
+func (z *Zones) Learned(ctx context.Context, i int) (doubtful map[string]bool, err error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
+	defer cancel()
+	var list []struct {
+		Node     string
+		Doubtful bool
+	}
+	err = admin.Call(ctx, z.socket(i), "learned", nil, &list)
+	doubtful = map[string]bool{}
+	for _, l := range list {
+		doubtful[l.Node] = l.Doubtful
+	}
+	return doubtful, err
+}
+
 // Word drains a zone at a coordinator by an operator's word, or no longer.
 func (z *Zones) Word(ctx context.Context, i int, word, zone string) error {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(10*time.Second))
--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -82,6 +82,7 @@
 	Hold      time.Duration // for which a failure makes doubtful; 5 s
 	Keep      time.Duration // for which a fact counts; 1 min
 	Warm      time.Duration // for which a data node is cold; 10 s
+	Every     time.Duration // what a coordinator sees itself of one field is a new fact no sooner; 500 ms
 	MostNodes int           // 10,000
 }
 
@@ -89,7 +90,7 @@
 	for _, d := range []struct {
 		to *time.Duration
 		by time.Duration
-	}{{&c.Skew, 500 * time.Millisecond}, {&c.Ahead, time.Minute}, {&c.Hold, 5 * time.Second}, {&c.Keep, time.Minute}, {&c.Warm, 10 * time.Second}} {
+	}{{&c.Skew, 500 * time.Millisecond}, {&c.Ahead, time.Minute}, {&c.Hold, 5 * time.Second}, {&c.Keep, time.Minute}, {&c.Warm, 10 * time.Second}, {&c.Every, 500 * time.Millisecond}} {
 		if *d.to == 0 {
 			*d.to = d.by
 		}
@@ -155,6 +156,9 @@
 
 // Saw takes in what this coordinator has seen itself just now, by its own clock and that on the wall.
 func (t *Table) Saw(now time.Duration, wall time.Time, id string, f Field, value float64) error {
+	if !t.worth(now, id, f) {
+		return nil
+	}
 	fact := Fact{Node: id, Field: f, Stamp: t.stamp(wall), Value: value}
 	if !fact.sound() {
 		return ErrForm
@@ -163,6 +167,22 @@
 	return nil
 }
 
+// worth tells whether what was seen just now is a fact of its own: each field once in Every, and at once where a failure follows an
+// answer or an answer a failure.
+func (t *Table) worth(now time.Duration, id string, f Field) bool {
+	n := t.nodes[id]
+	if n == nil || f >= fields {
+		return true
+	}
+	h := &n.facts[f]
+	if h.stamp.By != t.c.Self || now-h.seen >= t.c.Every {
+		return true
+	}
+	other := map[Field]Field{Failed: Answered, Answered: Failed}
+	o, turns := other[f]
+	return turns && n.facts[o].stamp.By != "" && n.facts[o].stamp.Compare(h.stamp) > 0
+}
+
 func (f *Fact) sound() bool {
 	return f.Node != "" && len(f.Node) <= 255 && f.Field < fields && f.Age >= 0 && f.Stamp.By != "" && len(f.Stamp.By) <= 255 &&
 		f.Value >= 0 && !math.IsInf(f.Value, 0)
@@ -303,5 +323,14 @@
 	return v
 }
 
+// All is what is held of each data node now.
+func (t *Table) All(now time.Duration) map[string]View {
+	all := map[string]View{}
+	for id := range t.nodes {
+		all[id] = t.Of(now, id)
+	}
+	return all
+}
+
 // Size is how many data nodes are held.
 func (t *Table) Size() int { return len(t.nodes) }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 
 	"gullfall/internal/core"
+	"gullfall/internal/learned"
 	"gullfall/internal/lease"
 	"gullfall/internal/maintenance"
 	"gullfall/internal/replica"
@@ -53,6 +54,8 @@
 	Hook    []string      // called with out or done and the machine; none while empty
 	HookFor time.Duration // longest that the hook may take
 	Budget  int           // bytes of plans that the holder writes in a second
+	// Learned is what all coordinators have told of a data node; nil where they don't talk.
+	Learned func(node string) learned.View
 }
 
 // record is what a coordinator says in the store.
@@ -307,6 +310,12 @@
 		if m.Sound = m.Serving && !l.Cold && !l.Doubtful; !l.Started.IsZero() {
 			m.Started = l.Started.UnixMilli()
 		}
+		if s.Learned != nil { // who fails for another, or is known to it as cold, holds no shard up either
+			v := s.Learned(l.ID)
+			if m.Sound = m.Sound && !v.Doubtful && v.ColdFor == 0; m.Util == 0 && v.Busy > 0 {
+				m.Util = v.Busy
+			}
+		}
 		if l.State != core.Gone {
 			list = append(list, m)
 		}
