--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -125,6 +125,34 @@
 	return v.Applied, v.Leader, err
 }
 
+// Reign is a term of the store, as it was first seen.
+type Reign struct {
+	At   time.Time
+	Term uint64
+}
+
+// Reigns watches the store's terms at whoever answers, until ctx ends.
+func (w *Works) Reigns(ctx context.Context) (list []Reign) {
+	for ctx.Err() == nil {
+		for i := range w.Coords {
+			if !w.Up(i) {
+				continue
+			}
+			one, cancel := context.WithDeadline(ctx, time.Now().Add(300*time.Millisecond))
+			var v struct {
+				Term uint64 `json:"term"`
+			}
+			err := admin.Call(one, w.socket(i), "store", nil, &v)
+			cancel()
+			if err == nil && (len(list) == 0 || v.Term > list[len(list)-1].Term) {
+				list = append(list, Reign{time.Now(), v.Term})
+			}
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	return list
+}
+
 // Sent is how many bytes have passed between the members of the store.
 func (w *Works) Sent() (n int64) {
 	for _, row := range w.ways {
