--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -302,6 +302,15 @@
 	return list
 }
 
+// told takes into a machine what others have told of it: who fails for another, or is cold to it, holds no shard up either, and its own
+// report to another counts where it has made none here.
+func told(m maintenance.Machine, v learned.View) maintenance.Machine {
+	if m.Sound = m.Sound && !v.Doubtful && v.ColdFor == 0; m.Util == 0 && v.Busy > 0 {
+		m.Util = v.Busy
+	}
+	return m
+}
+
 // fleet is the fleet as this coordinator sees it.
 func (s *Steward) fleet() (*maintenance.Fleet, error) {
 	var list []maintenance.Machine
@@ -310,11 +319,8 @@
 		if m.Sound = m.Serving && !l.Cold && !l.Doubtful; !l.Started.IsZero() {
 			m.Started = l.Started.UnixMilli()
 		}
-		if s.Learned != nil { // who fails for another, or is known to it as cold, holds no shard up either
-			v := s.Learned(l.ID)
-			if m.Sound = m.Sound && !v.Doubtful && v.ColdFor == 0; m.Util == 0 && v.Busy > 0 {
-				m.Util = v.Busy
-			}
+		if s.Learned != nil {
+			m = told(m, s.Learned(l.ID))
 		}
 		if l.State != core.Gone {
 			list = append(list, m)
