Lab: who holds a duty goes by the highest token, not by who answers first

TestDutiesAreHandedOn failed once in three runs with "nobody took two over": the first coordinator that answers may be the one that the test has just cut off, and it holds the past for true. HolderOf now asks all that run and goes by the newest token.

--- a/internal/lab/fleet/work.go
+++ b/internal/lab/fleet/work.go
@@ -368,8 +368,10 @@
 // Holder is who holds the duty of the work on machines, as HolderOf.
 func (w *Works) Holder(ctx context.Context) int { return w.HolderOf(ctx, maintenance.Duty) }
 
-// HolderOf is who holds a duty, as the first coordinator that answers knows; below 0 for nobody.
+// HolderOf is who holds a duty by the highest token that any coordinator knows, since one that is cut off still holds the past for
+// true; below 0 for nobody.
 func (w *Works) HolderOf(ctx context.Context, duty string) int {
+	holder, token := -1, uint64(0)
 	for i := range w.Coords {
 		if !w.Up(i) {
 			continue
@@ -379,15 +381,12 @@
 			continue
 		}
 		for _, d := range v.Duties {
-			if d.Duty != duty {
-				continue
-			}
-			if n, err := strconv.Atoi(strings.TrimPrefix(d.Holder, "n")); err == nil {
-				return n
+			if n, err := strconv.Atoi(strings.TrimPrefix(d.Holder, "n")); err == nil && d.Duty == duty && d.Token >= token {
+				holder, token = n, d.Token
 			}
 		}
 	}
-	return -1
+	return holder
 }
 
 // Until waits until a coordinator that answers shows what is wanted.
