The store rests on internal/kv, and a member that was away is sent what it missed at once

On a full disk a vote waits for room, where the library would end the process.

patient.go: a member away for a minute had caught up 5.3 s after its start, all of it the library's pause that doubles up to 10 s (replication.go backoff). The same entries are sent again every 50 ms while their term lasts.

Tests: TestDiskAgainstModel (random histories and cuts of power; found an end of the log taken for another behind a gap), TestTakeOver, TestFullDisk, TestPlanOfLog, TestCatchUp (fails without patient.go: 4 s), TestTornDisk goes on to the mending.

--- a/cmd/gullfall-lab/replicate.go
+++ b/cmd/gullfall-lab/replicate.go
@@ -22,6 +22,7 @@
 	Voters       int    `default:"3" help:"Of them, members of the store with a vote."`
 	Clients      int    `default:"8" help:"Clients that read, put and swap."`
 	Faults       int    `default:"100" help:"How many faults."`
+	Away         bool   `help:"Also: how a member catches up that was away for a minute, and for a day, by the length of the log."`
 	Seed         uint64 `default:"1" help:"Settles the faults and what clients do."`
 	Binary       string `help:"The gullfall to play; beside this program by default."`
 	JSON         string `name:"json" help:"Write the figures here."`
@@ -41,10 +42,21 @@
 	P99CatchUpMS float64        `json:"p99_catchup_ms"` // from a start to where the log was then
 	P99StartMS   float64        `json:"p99_start_ms"`   // from a start to the first connection taken
 	BytesPerOp   float64        `json:"bytes_per_operation"`
+	Away         []absence      `json:"away,omitempty"`
 	Seed         uint64         `json:"seed"`
 	Said         []string       `json:"said,omitempty"`
 }
 
+// absence is how a member came back that had missed part of the log.
+type absence struct {
+	Name       string  `json:"name"`
+	Missed     uint64  `json:"missed"` // entries
+	LogBytes   int64   `json:"log_bytes"`
+	CatchUpMS  float64 `json:"catchup_ms"`
+	BytesSent  int64   `json:"bytes_sent"`      // between members, from its start until it had caught up
+	AnsweredMS float64 `json:"first_answer_ms"` // by then it showed what it had
+}
+
 // Run plays.
 func (c *replicateCmd) Run() error {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Duration(c.Faults)*8*time.Second+3*time.Minute))
@@ -83,6 +95,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Away {
+		if r.Away, err = p.away(ctx); err != nil {
+			return err
+		}
+	}
 	r.Operations, r.Committed, r.Unknown = clients.History.Counts()
 	r.BytesPerOp = float64(sent) / float64(max(r.Operations, 1))
 	r.Said = clients.History.Lost(final)
@@ -93,6 +110,10 @@
 	fmt.Printf("%-28s %d, %d writes acknowledged, %d without an answer; %.0f bytes between members for each\n", "operations", r.Operations, r.Committed, r.Unknown, r.BytesPerOp)
 	fmt.Printf("%-28s linearizable %v (checked %v), %d acknowledged writes lost\n", "history", r.Linearizable, r.Checked, r.Lost)
 	fmt.Printf("%-28s %.0f ms at the median, %.0f ms at the 99th percentile; first connection after %.0f ms\n", "caught up after a start", r.P50CatchUpMS, r.P99CatchUpMS, r.P99StartMS)
+	for _, a := range r.Away {
+		fmt.Printf("%-28s %d entries, %.1f MB; answers after %.0f ms, caught up after %.0f ms, %.1f MB sent\n", "away for "+a.Name, a.Missed, float64(a.LogBytes)/1e6,
+			a.AnsweredMS, a.CatchUpMS, float64(a.BytesSent)/1e6)
+	}
 	for _, s := range r.Said[:min(len(r.Said), 10)] {
 		fmt.Println("  " + s)
 	}
@@ -150,6 +171,39 @@
 	}
 }
 
+// away ends the last member, has others write what a minute and a day bring, and starts it again. A minute is 1,200 notes of 100 bytes
+// (20 a second); a day is as much of the log as is kept several times over: 8,000 notes of 4,000 bytes.
+func (p *replicatePlay) away(ctx context.Context) (list []absence, err error) {
+	last := p.c.Coordinators - 1
+	for _, a := range []struct {
+		name                string
+		notes, length, keys int
+	}{{"a minute", 1200, 100, 50}, {"a day", 8000, 4000, 500}} {
+		from, _, err := p.w.Applied(ctx, last)
+		if err != nil {
+			return nil, err
+		}
+		if err := p.w.End(last); err != nil {
+			return nil, err
+		}
+		if err := p.w.Fill(ctx, 0, a.notes, a.length, a.keys); err != nil {
+			return nil, fmt.Errorf("away for %s: %w", a.name, err)
+		}
+		time.Sleep(5 * time.Second) // the leader takes its snapshots
+		to, _, err := p.w.Applied(ctx, 0)
+		if err != nil {
+			return nil, err
+		}
+		sent, begun := p.w.Sent(), time.Now()
+		if err := p.start(ctx, last); err != nil {
+			return nil, fmt.Errorf("away for %s: %w", a.name, err)
+		}
+		list = append(list, absence{a.name, to - from, int64(a.notes) * int64(a.length), float64(time.Since(begun).Microseconds()) / 1000, p.w.Sent() - sent,
+			float64(p.starts[len(p.starts)-1].Microseconds()) / 1000})
+	}
+	return list, nil
+}
+
 // leader is who leads the store by the first that answers, else anybody.
 func (p *replicatePlay) leader(ctx context.Context) int {
 	for i := range p.c.Coordinators {
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -126,9 +126,18 @@
 	Heartbeat Span // a leader not heard for so long is replaced; 1s
 	Peer      []Peer
 	Route     []PeerRoute
+	CatchUp   int     `toml:"catch_up"` // bytes of a snapshot that the leader sends a member far behind in a second; 4 MiB
 	Skew      float64 // by how much the clock that leases are counted by runs fast; to try their bound, 0 in service
 }
 
+// Pace is CatchUp, or what stands for 0.
+func (s Store) Pace() float64 {
+	if s.CatchUp == 0 {
+		return 4 << 20
+	}
+	return float64(s.CatchUp)
+}
+
 // Peer is one member of the store. A learner holds a copy and has no vote.
 type Peer struct {
 	Name, Addr string
@@ -280,6 +289,9 @@
 	if k := d.Store.Skew; !(k > -0.5 && k < 0.5) {
 		fault("store.skew: %v; between -0.5 and 0.5, and 0 in service", k)
 	}
+	if k := d.Store.CatchUp; k != 0 && k < 64<<10 {
+		fault("store.catch_up: %d; 65536 bytes a second at least", k)
+	}
 	if b := time.Duration(d.Store.Heartbeat); b != 0 && b < 50*time.Millisecond {
 		fault("store.heartbeat: %v; give 50ms or more, longer than the longest pause of a member", b)
 	}
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -7,8 +7,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"gullfall/internal/admin"
 	"gullfall/internal/lab/linear"
 )
@@ -113,6 +116,25 @@
 	return got, admin.Call(ctx, w.socket(i), "store "+word, n, &got)
 }
 
+// Fill puts so many notes of a length under so many keys, by writers side by side at one coordinator.
+func (w *Works) Fill(ctx context.Context, i, notes, length, keys int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	value := strings.Repeat("x", length-8)
+	const writers = 6 // a coordinator takes 16 connections of operators at once
+	for k := range writers {
+		group.Go(func() error {
+			for n := k; n < notes; n += writers {
+				note := storeNote{Key: fmt.Sprint("fill-", n%keys), Value: fmt.Sprintf("%08d", n) + value}
+				if _, err := w.Note(ctx, i, "put", note, time.Now().Add(10*time.Second)); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
 // Applied is up to which place in the store's log a coordinator has applied it, and who leads by it.
 func (w *Works) Applied(ctx context.Context, i int) (index uint64, leader string, err error) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(time.Second))
--- /dev/null
+++ b/internal/store/disk_test.go
@@ -0,0 +1,416 @@
+package store
+
+// What a member keeps: against a model while the power goes, with entries and values too long for one value of internal/kv, and
+// taken over from the release before.
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	"go.etcd.io/bbolt"
+	"pgregory.net/rapid"
+
+	"gullfall/internal/config"
+	"gullfall/internal/kv"
+	labdisk "gullfall/internal/lab/disk"
+	"gullfall/internal/replica"
+)
+
+func nothing(*disk) error { return nil }
+
+// openOn opens a member's disk on a stand-in.
+func openOn(t interface{ Fatal(...any) }, d *labdisk.Disk) *disk {
+	db, err := kv.Open(d, kv.Config{MemoryBytes: 16 << 10, SegmentBytes: 16 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept, err := newDisk(db, nothing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept.part = 1 << 10
+	return kept
+}
+
+// model is what a disk should hold.
+type model struct {
+	log     map[uint64]raft.Log
+	figures map[string]string
+	values  map[string]string
+	applied uint64
+	snaps   []string // content, the newest first
+}
+
+func check(t *rapid.T, d *disk, m *model) {
+	first, last := uint64(0), uint64(0)
+	for i := range m.log {
+		if first == 0 || i < first {
+			first = i
+		}
+		last = max(last, i)
+	}
+	f, _ := d.FirstIndex()
+	l, _ := d.LastIndex()
+	if f != first || l != last {
+		t.Fatalf("the log goes from %d to %d, want %d to %d", f, l, first, last)
+	}
+	for i := first; i > 0 && i <= last+1; i++ {
+		var got raft.Log
+		err := d.GetLog(i, &got)
+		want, there := m.log[i]
+		if !there {
+			if !errors.Is(err, raft.ErrLogNotFound) {
+				t.Fatalf("entry %d: %v, want none", i, err)
+			}
+			continue
+		}
+		same := bytes.Equal(got.Data, want.Data) && bytes.Equal(got.Extensions, want.Extensions) && got.AppendedAt.Equal(want.AppendedAt)
+		if err != nil || !same || got.Index != i || got.Term != want.Term || got.Type != want.Type {
+			t.Fatalf("entry %d: %v, %d bytes in term %d; want %d in %d", i, err, len(got.Data), got.Term, len(want.Data), want.Term)
+		}
+	}
+	for k, v := range m.figures {
+		if got, err := d.Get([]byte(k)); err != nil || string(got) != v {
+			t.Fatalf("figure %s: %q, %v, want %q", k, got, err, v)
+		}
+	}
+	values, index, err := d.read()
+	if err != nil || index != m.applied || len(values) != len(m.values) {
+		t.Fatalf("%d values up to %d, %v; want %d up to %d", len(values), index, err, len(m.values), m.applied)
+	}
+	for k, v := range m.values {
+		if string(values[k]) != v {
+			t.Fatalf("%s has %d bytes, want %d", k, len(values[k]), len(v))
+		}
+	}
+	list, err := d.List()
+	if err != nil || len(list) != len(m.snaps) {
+		t.Fatalf("%d snapshots, %v; want %d", len(list), err, len(m.snaps))
+	}
+	for i, s := range list {
+		_, in, err := d.Open(s.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(in)
+		in.Close()
+		if err != nil || string(got) != m.snaps[i] {
+			t.Fatalf("snapshot %d: %d bytes, %v; want %d", i, len(got), err, len(m.snaps[i]))
+		}
+	}
+}
+
+// TestDiskAgainstModel: entries, figures, values and snapshots of any length, the log cut at both ends, and the power going in
+// between: what was acknowledged is there, and nothing else.
+func TestDiskAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		power := labdisk.New()
+		d := openOn(t, power)
+		defer func() { d.Close() }()
+		m := &model{log: map[uint64]raft.Log{}, figures: map[string]string{}, values: map[string]string{}}
+		chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "power"), 1))
+		bytesOf := func(name string) []byte {
+			n := rapid.SampledFrom([]int{0, 1, 100, d.part, d.part + 1, 3*d.part - 7}).Draw(t, name)
+			data := make([]byte, n)
+			for i := range data {
+				data[i] = byte(chance.Uint32())
+			}
+			return data
+		}
+		must := func(err error) {
+			t.Helper()
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		ends := func() (first, last uint64) {
+			first, _ = d.FirstIndex()
+			last, _ = d.LastIndex()
+			return first, last
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"append": func(t *rapid.T) {
+				_, last := ends()
+				if last == 0 {
+					last = m.applied
+				}
+				var logs []*raft.Log
+				for i := range rapid.IntRange(1, 6).Draw(t, "entries") {
+					l := raft.Log{Index: last + 1 + uint64(i), Term: 3, Type: raft.LogCommand, Data: bytesOf("data"), Extensions: []byte("e"), AppendedAt: time.Unix(5, 7)}
+					logs = append(logs, &l)
+					m.log[l.Index] = l
+				}
+				must(d.StoreLogs(logs))
+			},
+			"cut the end": func(t *rapid.T) {
+				first, last := ends()
+				if first == 0 {
+					t.Skip("empty")
+				}
+				from := rapid.Uint64Range(first, last).Draw(t, "from")
+				for i := from; i <= last; i++ {
+					delete(m.log, i)
+				}
+				must(d.DeleteRange(from, last))
+			},
+			"cut the beginning": func(t *rapid.T) {
+				first, last := ends()
+				if first == 0 {
+					t.Skip("empty")
+				}
+				to := rapid.Uint64Range(first, last).Draw(t, "to")
+				for i := first; i <= to; i++ {
+					delete(m.log, i)
+				}
+				must(d.DeleteRange(first, to))
+			},
+			"a gap": func(t *rapid.T) { // as behind a snapshot that was sent
+				_, last := ends()
+				l := raft.Log{Index: last + 10, Term: 4, Type: raft.LogNoop, Data: []byte("x")}
+				m.log[l.Index] = l
+				must(d.StoreLog(&l))
+			},
+			"figure": func(t *rapid.T) {
+				k, v := rapid.SampledFrom([]string{"CurrentTerm", "LastVoteCand"}).Draw(t, "figure"), rapid.StringN(1, 8, 8).Draw(t, "figure's")
+				m.figures[k] = v
+				must(d.Set([]byte(k), []byte(v)))
+			},
+			"values": func(t *rapid.T) {
+				changed := map[string][]byte{}
+				for range rapid.IntRange(1, 20).Draw(t, "values") {
+					k := rapid.SampledFrom([]string{"a", "ab", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"}).Draw(t, "key")
+					v := bytesOf("value")
+					if rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
+						v = nil
+					}
+					if changed[k] = v; v == nil {
+						delete(m.values, k)
+					} else {
+						m.values[k] = string(v)
+					}
+				}
+				m.applied += uint64(rapid.IntRange(1, 3).Draw(t, "steps"))
+				must(d.write(changed, m.applied, false))
+				must(d.write(map[string][]byte{"a": []byte("older")}, m.applied-1, true)) // stays unheard
+			},
+			"all values": func(t *rapid.T) {
+				m.values, m.applied = map[string]string{"ab": string(bytesOf("value")), "c": "2"}, m.applied+5
+				all := map[string][]byte{}
+				for k, v := range m.values {
+					all[k] = []byte(v)
+				}
+				must(d.write(all, m.applied, true))
+			},
+			"snapshot": func(t *rapid.T) {
+				_, last := ends()
+				sink, err := d.Create(1, last, uint64(len(m.snaps))+uint64(chance.IntN(3))+100, raft.Configuration{}, 1, nil)
+				must(err)
+				content := bytesOf("snapshot")
+				for at := 0; at < len(content); at += 1500 {
+					_, err := sink.Write(content[at:min(at+1500, len(content))])
+					must(err)
+				}
+				if rapid.Bool().Draw(t, "cancelled") {
+					must(sink.Cancel())
+					return
+				}
+				must(sink.Close())
+				list, err := d.List()
+				must(err)
+				at := slices.IndexFunc(list, func(s *raft.SnapshotMeta) bool { return s.ID == sink.ID() })
+				m.snaps = slices.Insert(m.snaps, max(at, 0), string(content))
+				m.snaps = m.snaps[:min(len(m.snaps), snapshotsKept)]
+			},
+			"power": func(t *rapid.T) {
+				// What is begun and not acknowledged is not seen.
+				sink, err := d.Create(1, 1, 1, raft.Configuration{}, 1, nil)
+				must(err)
+				_, err = sink.Write(make([]byte, 2*d.part))
+				must(err)
+				_, err = d.keep(make([]byte, 2*d.part), keyValuePart, append(place(d.generation), bytes.Repeat([]byte{9}, 12)...), d.part)
+				must(err)
+				after := power.Crash(chance)
+				d.Close()
+				power = after
+				d = openOn(t, power)
+			},
+			"": func(t *rapid.T) { check(t, d, m) },
+		})
+	})
+}
+
+// TestTakeOver: what the release before kept is there, the log, votes, values and the newest snapshot, also where the taking over was
+// cut short; and that release finds nothing to go on with.
+func TestTakeOver(t *testing.T) {
+	dir := t.TempDir()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	db, err := bbolt.Open(filepath.Join(dir, "store.db"), 0o600, nil)
+	must(err)
+	var term uint64 = 2
+	command := func(index uint64) raft.Log {
+		data, err := json.Marshal(replica.Command{LedTerm: term, Put: []replica.Pair{{Key: fmt.Sprint("k", index), Value: []byte("v")}}})
+		must(err)
+		return raft.Log{Index: index, Term: term, Type: raft.LogCommand, Data: data}
+	}
+	must(db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range []string{"log", "stable", "values"} {
+			if _, err := tx.CreateBucket([]byte(name)); err != nil {
+				return err
+			}
+		}
+		for index := uint64(4); index <= 9; index++ {
+			data, err := json.Marshal(command(index))
+			if err := errors.Join(err, tx.Bucket([]byte("log")).Put(place(index), data)); err != nil {
+				return err
+			}
+		}
+		stable := tx.Bucket([]byte("stable"))
+		return errors.Join(stable.Put([]byte("CurrentTerm"), place(term)), stable.Put([]byte("applied"), place(9)),
+			tx.Bucket([]byte("values")).Put([]byte("k9"), []byte("v")), tx.Bucket([]byte("values")).Put([]byte("old"), []byte("list")))
+	}))
+	must(db.Close())
+	files, err := raft.NewFileSnapshotStoreWithLogger(dir, 2, hclog.NewNullLogger())
+	must(err)
+	_, wire := raft.NewInmemTransport("n0")
+	before := replica.New()
+	for index := uint64(1); index <= 6; index++ {
+		l := command(index)
+		var c replica.Command
+		must(json.Unmarshal(l.Data, &c))
+		before.Apply(index, term, &c)
+	}
+	data, err := before.Snapshot()
+	must(err)
+	sink, err := files.Create(1, 6, term, raft.Configuration{Servers: []raft.Server{{ID: "n0", Address: "n0"}}}, 1, wire)
+	must(err)
+	_, err = sink.Write(data)
+	must(err)
+	must(sink.Close())
+
+	// Cut short: nothing of it counts, and what was there is as it was.
+	folder := filepath.Join(dir, "kv")
+	must(os.MkdirAll(folder, 0o700))
+	half, err := kv.Open(kv.Dir(folder), kv.Config{})
+	must(err)
+	if _, err := newDisk(half, func(d *disk) error {
+		return errors.Join(takeOver(d, dir), d.StoreLog(&raft.Log{Index: 99}), errors.New("the power goes"))
+	}); err == nil {
+		t.Fatal("it was not cut short")
+	}
+
+	s := open(t, config.Store{Directory: dir}, "n0")
+	if got := string(s.Get("old")); got != "list" {
+		t.Errorf("before the log is played: old is %q", got)
+	}
+	until(t, s, "k3", "v")
+	until(t, s, "k9", "v")
+	s.Put("after", []byte("1"))
+	until(t, s, "after", "1")
+	if term := s.Status().Term; term < 3 {
+		t.Errorf("term %d", term)
+	}
+	must(s.Close())
+	for name, there := range map[string]bool{"store.db": false, "store.db" + takenOver: true, "snapshots": false, "snapshots" + takenOver: true} {
+		if _, err := os.Stat(filepath.Join(dir, name)); (err == nil) != there {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	s = open(t, config.Store{Directory: dir}, "n0")
+	until(t, s, "k3", "v")
+	must(s.Close())
+}
+
+// TestPlanOfLog: how much of the log is kept, by the sizes of its entries.
+func TestPlanOfLog(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		entries, bytes     int
+		trailing, snapshot uint64
+	}{
+		{"empty", 0, 0, tailLeast, eachLeast},
+		{"leases", 1000, 300, 23045, 5761},
+		{"bare", 1000, 1, tailMost, eachMost},
+		{"lists of all data nodes", 40, 600_000, tailLeast, eachLeast},
+	} {
+		var s sizes
+		for i := range c.entries {
+			s.add(uint64(i+1), c.bytes)
+		}
+		if trailing, snapshot := s.plan(); trailing != c.trailing || snapshot != c.snapshot {
+			t.Errorf("%s: %d and %d, want %d and %d", c.name, trailing, snapshot, c.trailing, c.snapshot)
+		}
+	}
+	var s sizes
+	for i := range 5 * tailMost {
+		s.add(uint64(i+1), 10)
+	}
+	s.add(5*tailMost-9, 1<<20) // in the place of a later end
+	if len(s.list) > 2*tailMost || s.from+uint64(len(s.list)) != 5*tailMost-8 {
+		t.Errorf("%d sizes from %d on", len(s.list), s.from)
+	}
+}
+
+// TestFullDisk: what the library can't go on without waits for room; the log says that there is none, and takes entries once there is;
+// and values of many entries at once.
+func TestFullDisk(t *testing.T) {
+	full := labdisk.New()
+	d := openOn(t, full)
+	defer d.Close()
+	d.runs.Store(true)
+	full.Room(2000)
+	var err error
+	last := uint64(0)
+	for err == nil {
+		last++
+		err = d.StoreLog(&raft.Log{Index: last, Data: make([]byte, 200)})
+	}
+	if !errors.Is(err, kv.ErrFull) {
+		t.Fatal(err)
+	}
+	full.Room(10) // nor for less
+	set := make(chan error, 1)
+	go func() { set <- d.SetUint64([]byte("CurrentTerm"), 7) }()
+	select {
+	case err := <-set:
+		t.Fatalf("on a full disk it returned %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	full.Room(1 << 20)
+	if err := <-set; err != nil {
+		t.Fatal(err)
+	}
+	full.Room(-1)
+	d.part = partSize
+	values := map[string][]byte{} // of one batch of entries, more than one batch of internal/kv takes
+	for i := range 40 {
+		values[fmt.Sprint(i)] = bytes.Repeat([]byte{byte(i)}, partSize-1)
+	}
+	if err := d.write(values, 1, false); err != nil {
+		t.Error(err)
+	}
+	if got, _, err := d.read(); err != nil || len(got) != 40 || !bytes.Equal(got["39"], values["39"]) {
+		t.Errorf("%d values, %v", len(got), err)
+	}
+	if term, err := d.GetUint64([]byte("CurrentTerm")); term != 7 || err != nil {
+		t.Errorf("term %d, %v", term, err)
+	}
+	if err := d.StoreLog(&raft.Log{Index: last}); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/store/machine.go
+++ b/internal/store/machine.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"time"
 
 	"github.com/hashicorp/raft"
 
@@ -16,25 +17,41 @@
 type machine Store
 
 // Apply takes in one entry of the log.
-func (m *machine) Apply(l *raft.Log) any {
-	var c replica.Command
-	if err := json.Unmarshal(l.Data, &c); err != nil {
-		m.log.Error("entry of the store not understood", "index", l.Index, "cause", err)
-		return err
-	}
+func (m *machine) Apply(l *raft.Log) any { return m.ApplyBatch([]*raft.Log{l})[0] }
+
+// ApplyBatch takes in entries in their order, and writes what they changed at once.
+func (m *machine) ApplyBatch(logs []*raft.Log) []any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r, keys := m.state.Apply(l.Index, l.Term, &c)
-	if len(keys) > 0 && m.disk != nil {
-		values := map[string][]byte{}
+	results, changed := make([]any, len(logs)), map[string]bool{}
+	for i, l := range logs {
+		if l.Type != raft.LogCommand {
+			continue
+		}
+		var c replica.Command
+		if err := json.Unmarshal(l.Data, &c); err != nil {
+			m.log.Error("entry of the store not understood", "index", l.Index, "cause", err)
+			results[i] = err
+			continue
+		}
+		r, keys := m.state.Apply(l.Index, l.Term, &c)
 		for _, k := range keys {
+			changed[k] = true
+		}
+		results[i] = r
+	}
+	if m.disk != nil && m.torn {
+		m.mend()
+	} else if m.disk != nil && len(changed) > 0 {
+		values := map[string][]byte{}
+		for k := range changed {
 			e, _ := m.state.Get(k)
 			values[k] = e.Value
 		}
-		m.keep(m.disk.write(values, l.Index, false))
+		m.keep(m.disk.write(values, m.state.Index(), false))
 	}
 	m.tell()
-	return r
+	return results
 }
 
 // tell wakes those that wait for a change. The caller holds the lock.
@@ -45,10 +62,31 @@
 
 // keep takes in what came of a write. The caller holds the lock.
 func (m *machine) keep(err error) {
-	if err != nil {
-		m.torn = true
+	switch {
+	case err != nil:
 		m.log.Error("store can't be written", "cause", err)
+		m.tried = time.Now()
+	case m.torn:
+		m.log.Info("store is written again")
 	}
+	m.torn = err != nil
+}
+
+// mend writes all values anew after a write has failed, once a second at most: what changed meanwhile is not on the disk. The caller
+// holds the lock.
+func (m *machine) mend() {
+	if time.Since(m.tried) < time.Second {
+		return
+	}
+	m.keep(m.disk.write(m.all(), m.state.Index(), true))
+}
+
+func (m *machine) all() map[string][]byte {
+	values := map[string][]byte{}
+	for k, e := range m.state.Values() {
+		values[k] = e.Value
+	}
+	return values
 }
 
 // Snapshot copies the state.
@@ -72,11 +110,7 @@
 		return err
 	}
 	if m.disk != nil {
-		values := map[string][]byte{}
-		for k, e := range m.state.Values() {
-			values[k] = e.Value
-		}
-		m.keep(m.disk.write(values, m.state.Index(), true))
+		m.keep(m.disk.write(m.all(), m.state.Index(), true))
 	}
 	m.tell()
 	return nil
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -22,17 +22,13 @@
 	if cfg.Directory == "" || cfg.Listen == "" {
 		return 0, errors.New("store.directory and store.listen: a store in memory, or of one member, has nothing to recover")
 	}
-	d, err := openDisk(cfg.Directory)
+	d, err := openDisk(cfg.Directory, log)
 	if err != nil {
 		return 0, fmt.Errorf("store.directory: %w; end the coordinator before its store is recovered", err)
 	}
-	defer func() { err = errors.Join(err, d.db.Close()) }()
+	defer func() { err = errors.Join(err, d.Close()) }()
 	hc := hclog.New(&hclog.LoggerOptions{Name: "store", Level: hclog.Error, Output: os.Stderr})
-	files, err := raft.NewFileSnapshotStoreWithLogger(cfg.Directory, 2, hc)
-	if err != nil {
-		return 0, fmt.Errorf("store.directory: %w", err)
-	}
-	if known, err := raft.HasExistingState(d, d, files); err != nil || !known {
+	if known, err := raft.HasExistingState(d, d, d); err != nil || !known {
 		return 0, errors.Join(err, fmt.Errorf("store.directory: %s holds no store", cfg.Directory))
 	}
 	conf := raft.DefaultConfig()
@@ -40,7 +36,7 @@
 	s := &Store{log: log, name: name, state: replica.New(), disk: d, changed: make(chan struct{})}
 	_, transport := raft.NewInmemTransport(raft.ServerAddress(cfg.Listen))
 	alone := raft.Configuration{Servers: []raft.Server{{ID: raft.ServerID(name), Address: raft.ServerAddress(cfg.Listen)}}}
-	if err := raft.RecoverCluster(conf, (*machine)(s), d, d, files, transport, alone); err != nil {
+	if err := raft.RecoverCluster(conf, (*machine)(s), d, d, d, transport, alone); err != nil {
 		return 0, fmt.Errorf("store.directory: %w", err)
 	}
 	return s.state.Index(), nil
--- /dev/null
+++ b/internal/store/snapshots.go
@@ -0,0 +1,196 @@
+package store
+
+// This file owns a member's snapshots: written in parts and seen only once they are whole, read in parts, at a pace while others
+// are sent one. It must never hold one in memory as a whole.
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash"
+	"hash/crc32"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"golang.org/x/time/rate"
+
+	"gullfall/internal/kv"
+)
+
+// snapshotsKept is how many snapshots stay: the one before the last may still be on its way to a member.
+const snapshotsKept = 2
+
+// List, Open and Create are the library's SnapshotStore; the newest comes first.
+func (d *disk) List() (list []*raft.SnapshotMeta, err error) {
+	view := d.db.Snapshot()
+	defer view.Close()
+	var bad error
+	err = view.Each([]byte{keySnapshot}, func(_, raw []byte) bool {
+		var h snapshotHead
+		if h, bad = readHead(raw); bad == nil {
+			list = append(list, &h.Meta)
+		}
+		return bad == nil
+	})
+	slices.SortFunc(list, func(a, b *raft.SnapshotMeta) int {
+		return cmp.Or(cmp.Compare(b.Term, a.Term), cmp.Compare(b.Index, a.Index), cmp.Compare(b.ID, a.ID))
+	})
+	return list, errors.Join(err, bad)
+}
+
+// Open reads a snapshot. Its content is checked by the time it ends.
+func (d *disk) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
+	view := d.db.Snapshot()
+	raw, err := view.Get(key(keySnapshot, []byte(id)))
+	var h snapshotHead
+	if err == nil {
+		h, err = readHead(raw)
+	}
+	if err != nil {
+		view.Close()
+		return nil, nil, fmt.Errorf("snapshot %s: %w", id, err)
+	}
+	r := &snapshotReader{ctx: d.ctx, view: view, head: h, sum: crc32.New(castagnoli)}
+	if d.pace != nil {
+		if bound := d.pace(&h.Meta); bound > 0 {
+			r.budget = rate.NewLimiter(rate.Limit(bound), partSize)
+		}
+	}
+	return &h.Meta, r, nil
+}
+
+// Create begins a snapshot.
+func (d *disk) Create(version raft.SnapshotVersion, index, term uint64, members raft.Configuration, membersIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
+	if version != 1 {
+		return nil, fmt.Errorf("snapshot of version %d; this program writes 1", version)
+	}
+	id := fmt.Sprintf("%016x-%016x-%016x", term, index, time.Now().UnixNano())
+	w := &snapshotWriter{disk: d, sum: crc32.New(castagnoli)}
+	w.head.Meta = raft.SnapshotMeta{Version: version, ID: id, Index: index, Term: term, Configuration: members, ConfigurationIndex: membersIndex}
+	return w, nil
+}
+
+// snapshotWriter is a snapshot that is being written.
+type snapshotWriter struct {
+	disk  *disk
+	head  snapshotHead
+	sum   hash.Hash32
+	buf   []byte
+	parts int
+	ended bool
+}
+
+// ID names the snapshot.
+func (w *snapshotWriter) ID() string { return w.head.Meta.ID }
+
+// Write takes further content in.
+func (w *snapshotWriter) Write(p []byte) (n int, err error) {
+	w.sum.Write(p)
+	w.head.Meta.Size += int64(len(p))
+	for n = len(p); len(p) > 0; {
+		take := min(w.disk.part-len(w.buf), len(p))
+		w.buf, p = append(w.buf, p[:take]...), p[take:]
+		if len(w.buf) == w.disk.part {
+			if err := w.flush(); err != nil {
+				return 0, err
+			}
+		}
+	}
+	return n, nil
+}
+
+func (w *snapshotWriter) flush() error {
+	if len(w.buf) == 0 {
+		return nil
+	}
+	err := w.disk.db.Write(kv.Batch{{Kind: kv.Put, Key: key(keySnapPart, []byte(w.ID()), part(w.parts)), Value: w.buf}})
+	w.buf, w.parts = nil, w.parts+1
+	return err
+}
+
+// Close lets it be seen, and removes those that are too old.
+func (w *snapshotWriter) Close() error {
+	if w.ended {
+		return nil
+	}
+	w.ended = true
+	w.head.Sum = w.sum.Sum32()
+	raw, err := json.Marshal(w.head)
+	if err == nil {
+		err = w.flush()
+	}
+	var list []*raft.SnapshotMeta
+	if err == nil {
+		list, err = w.disk.List()
+	}
+	if err != nil {
+		return err
+	}
+	b := kv.Batch{{Kind: kv.Put, Key: key(keySnapshot, []byte(w.ID())), Value: raw}}
+	for i, m := range list {
+		if i >= snapshotsKept-1 {
+			b = append(b, kv.Op{Kind: kv.Delete, Key: key(keySnapshot, []byte(m.ID))})
+			b = append(b, within(keySnapPart, []byte(m.ID))...)
+		}
+	}
+	return w.disk.db.Write(b)
+}
+
+// Cancel removes what was written.
+func (w *snapshotWriter) Cancel() error {
+	if w.ended {
+		return nil
+	}
+	w.ended = true
+	return w.disk.db.Write(within(keySnapPart, []byte(w.ID())))
+}
+
+// snapshotReader reads a snapshot, as it was when that was opened.
+type snapshotReader struct {
+	ctx    context.Context
+	view   *kv.View
+	head   snapshotHead
+	sum    hash.Hash32
+	budget *rate.Limiter // nil for none
+	rest   bytes.Reader  // of the part that is read
+	part   int
+	read   int64
+}
+
+// Read is io.Reader's.
+func (r *snapshotReader) Read(p []byte) (n int, err error) {
+	if r.read == r.head.Meta.Size {
+		if r.sum.Sum32() != r.head.Sum {
+			return 0, fmt.Errorf("snapshot %s does not have its checksum", r.head.Meta.ID)
+		}
+		return 0, io.EOF
+	}
+	if r.rest.Len() == 0 {
+		data, err := r.view.Get(key(keySnapPart, []byte(r.head.Meta.ID), part(r.part)))
+		if err != nil {
+			return 0, fmt.Errorf("snapshot %s, part %d: %w", r.head.Meta.ID, r.part, err)
+		}
+		if r.budget != nil {
+			if err := r.budget.WaitN(r.ctx, len(data)); err != nil { // a part is the most that it lets through
+				return 0, err
+			}
+		}
+		r.rest.Reset(data)
+		r.part++
+	}
+	n, err = r.rest.Read(p)
+	r.sum.Write(p[:n])
+	r.read += int64(n)
+	return n, err
+}
+
+// Close gives it back.
+func (r *snapshotReader) Close() error {
+	r.view.Close()
+	return nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"maps"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,20 +37,23 @@
 
 // Store is one member.
 type Store struct {
-	log    *slog.Logger
-	name   string
-	raft   *raft.Raft
-	logs   raft.LogStore
-	disk   *disk  // nil where all is kept in memory
-	layer  *layer // nil where it is alone
-	start  time.Time
-	skew   float64 // of clock
-	writer string
-	number atomic.Uint64
+	log  *slog.Logger
+	name string
+	raft *raft.Raft
+	// running is raft once it has begun, for what it calls itself.
+	running atomic.Pointer[raft.Raft]
+	logs    raft.LogStore
+	disk    *disk  // nil where all is kept in memory
+	layer   *layer // nil where it is alone
+	start   time.Time
+	skew    float64 // of clock
+	writer  string
+	number  atomic.Uint64
 
 	mu      sync.Mutex
 	state   *replica.State
-	torn    bool              // a write to the disk has failed: what is there may be older than what is applied
+	torn    bool              // a write to the disk has failed: what is there is older than what is applied
+	tried   time.Time         // when the last one did
 	boot    map[string][]byte // as this member had applied it before its start, up to bootAt
 	bootAt  uint64
 	want    map[string][]byte // to be written, the latest of each key
@@ -70,7 +74,7 @@
 	s.writer = name + "/" + hex.EncodeToString(process[:])
 	conf := raft.DefaultConfig()
 	conf.LocalID = raft.ServerID(name)
-	// Little is kept of the log beside the latest values: each change of the list is an entry of its length.
+	// Little is kept of the log beside the latest values: each change of the list is an entry of its length. On a disk, by bytes (tune).
 	conf.SnapshotInterval, conf.SnapshotThreshold, conf.TrailingLogs = 2*time.Second, 32, 16
 	conf.Logger = hclog.New(&hclog.LoggerOptions{Name: "store", Level: hclog.Error, Output: os.Stderr})
 	var logs raft.LogStore
@@ -80,7 +84,7 @@
 		mem := raft.NewInmemStore()
 		logs, stable, snapshots = mem, mem, raft.NewInmemSnapshotStore()
 	} else {
-		d, err := openDisk(cfg.Directory)
+		d, err := openDisk(cfg.Directory, log)
 		if err != nil {
 			return nil, fmt.Errorf("store.directory: %w", err)
 		}
@@ -88,11 +92,7 @@
 		if s.boot, s.bootAt, err = d.read(); err != nil {
 			return nil, fmt.Errorf("store.directory: %w", err)
 		}
-		files, err := raft.NewFileSnapshotStoreWithLogger(cfg.Directory, 2, conf.Logger)
-		if err != nil {
-			return nil, fmt.Errorf("store.directory: %w", err)
-		}
-		logs, stable, snapshots = d, d, files
+		logs, stable, snapshots = d, d, d
 	}
 	servers := []raft.Server{{ID: conf.LocalID, Address: raft.ServerAddress(name)}}
 	var transport raft.Transport
@@ -108,9 +108,11 @@
 		if s.layer, err = listen(cfg, s); err != nil {
 			return nil, fmt.Errorf("store.listen: %w", err)
 		}
-		// What is long under way holds up a log: a few heartbeats.
-		transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.layer, MaxPool: 2,
-			Timeout: 2 * conf.HeartbeatTimeout, Logger: conf.Logger})
+		// What is long under way holds up a log: a few heartbeats; and a snapshot for twice as long as its pace needs.
+		within := 2 * conf.HeartbeatTimeout
+		wire := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.layer, MaxPool: 2, Timeout: within, Logger: conf.Logger})
+		wire.TimeoutScale = max(1, int(cfg.Pace()*within.Seconds()/2))
+		transport = &patient{wire, s.leads, s.ended}
 		servers = nil
 		for _, p := range cfg.Peer {
 			server := raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Addr)}
@@ -131,6 +133,18 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	s.logs = logs
+	s.running.Store(s.raft)
+	if s.disk != nil {
+		// A leader reads a snapshot only to send it to a member that is far behind.
+		s.disk.pace = func(m *raft.SnapshotMeta) float64 {
+			if s.raft.State() != raft.Leader {
+				return 0
+			}
+			s.log.Info("store sends a snapshot to a member that is far behind", "index", m.Index, "bytes", m.Size, "bytes_per_s", cfg.Pace())
+			return cfg.Pace()
+		}
+		s.disk.runs.Store(true)
+	}
 	if s.layer != nil {
 		s.layer.serve()
 	}
@@ -138,6 +152,16 @@
 	return s, nil
 }
 
+// leads tells whether this member leads another in a term.
+func (s *Store) leads(term uint64, member raft.ServerID) bool {
+	r := s.running.Load()
+	if r == nil || r.State() != raft.Leader || r.CurrentTerm() != term {
+		return false
+	}
+	f := r.GetConfiguration()
+	return f.Error() == nil && slices.ContainsFunc(f.Configuration().Servers, func(p raft.Server) bool { return p.ID == member })
+}
+
 // Get returns what this member has applied under a key, nil for nothing. Until it has caught up with what it had applied before
 // its start, that is what it tells.
 func (s *Store) Get(key string) []byte {
@@ -177,7 +201,7 @@
 // Lasting tells whether what this member applies is meant to be there after a restart.
 func (s *Store) Lasting() bool { return s.disk != nil }
 
-// Kept tells whether it will be: false once a write to the disk has failed, until the next start.
+// Kept tells whether it will be: false from a write to the disk that failed until all is written again.
 func (s *Store) Kept() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -371,16 +395,38 @@
 // Close ends the member.
 func (s *Store) Close() error {
 	close(s.ended)
+	if s.disk != nil {
+		s.disk.stop()
+	}
 	err := s.raft.Shutdown().Error()
 	if s.layer != nil {
 		s.layer.Close()
 	}
 	if s.disk != nil {
-		err = errors.Join(err, s.disk.db.Close())
+		err = errors.Join(err, s.disk.Close())
 	}
 	return err
 }
 
+// tune has as much of the log kept, and snapshots taken as often, as the sizes of its entries ask for.
+func (s *Store) tune() {
+	if s.disk == nil {
+		return
+	}
+	s.disk.mu.Lock()
+	trailing, threshold := s.disk.sizes.plan()
+	s.disk.mu.Unlock()
+	now := s.raft.ReloadableConfig()
+	far := func(a, b uint64) bool { return 4*a > 5*b || 4*b > 5*a }
+	if !far(trailing, now.TrailingLogs) && !far(threshold, now.SnapshotThreshold) {
+		return
+	}
+	now.TrailingLogs, now.SnapshotThreshold = trailing, threshold
+	if err := s.raft.ReloadConfig(now); err != nil {
+		s.log.Warn("store keeps as much of its log as before", "cause", err)
+	}
+}
+
 // write brings what is wanted into the store: whatever it is while this member leads, else what is its own.
 func (s *Store) write() {
 	again := time.NewTicker(time.Second)
@@ -392,6 +438,7 @@
 		case <-s.wake:
 		case <-s.raft.LeaderCh():
 		case <-again.C:
+			s.tune()
 		}
 		leads := s.raft.State() == raft.Leader
 		s.mu.Lock()
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -83,7 +84,7 @@
 	if !s.Lasting() || !s.Kept() {
 		t.Fatal("nothing failed yet")
 	}
-	closed, err := openDisk(t.TempDir())
+	closed, err := openDisk(t.TempDir(), quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,6 +101,18 @@
 	s.mu.Lock()
 	s.disk = whole
 	s.mu.Unlock()
+	// Once the disk takes writes again, all is written, the value too that failed; what is put wakes that up.
+	for n := 0; !s.Kept(); n++ {
+		if n > 100 {
+			t.Fatal("the disk is whole again, and nothing is written")
+		}
+		s.Put("other", fmt.Append(nil, n))
+		time.Sleep(100 * time.Millisecond)
+	}
+	values, _, err := s.disk.read()
+	if err != nil || string(values[Members]) != "list 2" {
+		t.Errorf("the disk holds %q, %v", values[Members], err)
+	}
 }
 
 // TestRestoredAtStart: what a member held on disk can be read as soon as it is opened, before any election.
@@ -165,6 +178,11 @@
 
 // fleetOf opens three members with a vote and one learner, each with a disk of its own.
 func fleetOf(t *testing.T) (all []*Store, reopen func(i int)) {
+	return fleetWith(t, config.Store{}, quiet)
+}
+
+// fleetWith is fleetOf with figures and a log of the test's own.
+func fleetWith(t *testing.T, cfg config.Store, log *slog.Logger) (all []*Store, reopen func(i int)) {
 	t.Helper()
 	var peers []config.Peer
 	var dirs []string
@@ -179,7 +197,12 @@
 	}
 	all = make([]*Store, 4)
 	reopen = func(i int) {
-		all[i] = open(t, config.Store{Directory: dirs[i], Listen: peers[i].Addr, Peer: peers, Heartbeat: config.Span(300 * time.Millisecond)}, peers[i].Name)
+		cfg.Directory, cfg.Listen, cfg.Peer, cfg.Heartbeat = dirs[i], peers[i].Addr, peers, config.Span(300*time.Millisecond)
+		s, err := Open(cfg, peers[i].Name, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[i] = s
 	}
 	for i := range all {
 		reopen(i)
@@ -315,6 +338,100 @@
 	}
 }
 
+// TestCatchUp: a member that was away is sent the entries it missed while they are kept, and a snapshot at a bounded pace once they
+// are not; meanwhile it shows what it had, and the others go on.
+func TestCatchUp(t *testing.T) {
+	var lines syncBuffer
+	const pace = 1 << 20
+	all, reopen := fleetWith(t, config.Store{CatchUp: pace}, slog.New(slog.NewTextHandler(&lines, nil)))
+	defer func() {
+		for _, s := range all {
+			s.Close()
+		}
+	}()
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(90*time.Second))
+	defer cancel()
+	put := func(n int, value []byte) {
+		t.Helper()
+		for i := range n {
+			r, err := all[0].Do(ctx, replica.Command{Put: []replica.Pair{{Key: fmt.Sprint("k", i%8), Value: value}}})
+			if err := errors.Join(err, r.Err()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	away := func() uint64 {
+		t.Helper()
+		if err := all[3].Close(); err != nil {
+			t.Fatal(err)
+		}
+		return all[3].Status().Index
+	}
+	put(8, []byte("first"))
+	away()
+	put(300, []byte("second"))  // more than were kept whatever their size
+	time.Sleep(6 * time.Second) // by then the library's own pauses are 5 s long
+	back := time.Now()
+	reopen(3)
+	until(t, all[3], "k7", "second")
+	if took := time.Since(back); took > 3*time.Second {
+		t.Errorf("caught up with 300 entries within %v", took)
+	}
+	if strings.Contains(lines.String(), "sends a snapshot") {
+		t.Error("a member that missed 300 short entries was sent a snapshot")
+	}
+	at := away()
+	long := bytes.Repeat([]byte("x"), 300_000)
+	put(64, long)
+	for ctx.Err() == nil { // until no leader can go on from there
+		kept := false
+		for _, s := range all[:3] {
+			first, _ := s.logs.FirstIndex()
+			kept = kept || first <= at+1
+		}
+		if !kept {
+			break
+		}
+		put(1, long)
+		time.Sleep(100 * time.Millisecond)
+	}
+	start := time.Now()
+	reopen(3)
+	if got := string(all[3].Get("k7")); got != "second" {
+		t.Errorf("it starts with %d bytes under k7, want what it had", len(got))
+	}
+	for len(all[3].Get("k7")) != len(long) && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	took := time.Since(start)
+	if !strings.Contains(lines.String(), "sends a snapshot") || ctx.Err() != nil {
+		t.Fatalf("no snapshot was sent, or it did not arrive: %v", ctx.Err())
+	}
+	// Eight values of 300,000 bytes are 3.2 MB as they are written; one part goes ahead of the pace.
+	if least := time.Duration(3_200_000-partSize) * time.Second / pace; took < least {
+		t.Errorf("caught up within %v, faster than %v", took, least)
+	}
+	t.Logf("caught up within %v", took)
+}
+
+// syncBuffer takes a log's lines in from any goroutine.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // TestRecover: with two votes of three gone for good the third goes on alone on an operator's word, with all that it had; not while it
 // runs, and not from nothing.
 func TestRecover(t *testing.T) {
