kv: a view of a store just opened reads on while its runs are merged; learned state has users

Runs found at a start had no reference of the store itself (db.go, load), unlike those written later: the first view that was given back, or a merge, brought their count to 0 or below, so a table was closed under a view, and its file stayed until the next start. TestViewOfOpened: without the change the file stays and the view may fail.

A start that the list has not told yet makes it cold here too; failures are evidence on a zone (zones.Hearsay) where this coordinator has heard nothing from there itself and nobody tells of an answer. A coordinator tells its own evidence once it has left a zone, and starts that it hears of. Ruled out: counting those that tell (the table keeps the latest only), single silent attempts as failures (stragglers are given up all the time).

--- a/cmd/gullfall/peers.go
+++ b/cmd/gullfall/peers.go
@@ -33,7 +33,7 @@
 const keptPeers = "peers"
 
 // startPeers begins to talk where our own file says so; nil where it does not.
-func startPeers(deploy config.Deploy, cfg config.Config, c *core.Core, log *slog.Logger, kept *store.Store) (*gossip.Gossip, error) {
+func startPeers(ctx context.Context, deploy config.Deploy, cfg config.Config, c *core.Core, log *slog.Logger, kept *store.Store) (*gossip.Gossip, error) {
 	p := deploy.Peers
 	if p.Listen == "" {
 		return nil, nil
@@ -68,6 +68,10 @@
 		return nil, err
 	}
 	c.OnSight(func(s core.Sight) {
+		if s.Started {
+			talk.SawStart(s.Node, s.Ago)
+			return
+		}
 		if s.Failed {
 			talk.Saw(s.Node, learned.Failed, 0)
 			return
@@ -80,10 +84,40 @@
 			talk.Saw(s.Node, learned.Busy, s.Busy)
 		}
 	})
+	go hear(ctx, c, talk, cfg.Name)
 	log.Info("watching the other coordinators", "listen", p.Listen, "fleet", p.Fleet)
 	return talk, nil
 }
 
+// hearEvery is how often core is told what other coordinators have learned.
+const hearEvery = 250 * time.Millisecond
+
+// hear passes on what others tell of data nodes, until ctx ends.
+func hear(ctx context.Context, c *core.Core, talk *gossip.Gossip, self string) {
+	tick := time.NewTicker(hearEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		var list []core.Told
+		for id, v := range talk.AllLearned() {
+			t := core.Told{Node: id, Failing: v.Doubtful && v.FailedBy != self, Failed: v.Failed, Answered: v.Answered}
+			if v.ColdFor > 0 && v.ColdBy != self {
+				t.Cold, t.Started = true, v.Started
+			}
+			if t.Cold || t.Failing {
+				list = append(list, t)
+			}
+		}
+		if len(list) > 0 {
+			c.Hear(list)
+		}
+	}
+}
+
 // peersView is what `gullfall peers` shows.
 type peersView struct {
 	Self     string     `json:"self"`
--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -133,7 +133,7 @@
 	if err := findNodes(ctx, deploy, cfg, c, log, slots, kept); err != nil {
 		return err
 	}
-	talk, err := startPeers(deploy, cfg, c, log, kept)
+	talk, err := startPeers(ctx, deploy, cfg, c, log, kept)
 	if err != nil {
 		return err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -175,6 +175,7 @@
 	zones    *zoneWatch       // nil where zones are not watched
 	work     *workWatch       // nil where machines are not taken out for work
 	sight    atomic.Pointer[func(Sight)]
+	starts   map[string]time.Time // of data nodes, as others tell; guarded by mu
 
 	// The loop's own.
 	agg      *aggregator.Aggregator
@@ -204,7 +205,7 @@
 		return nil, err
 	}
 	c := &Core{set: set, seed: seed, log: log, start: time.Now(), classes: map[string]int{}, tenants: map[string]int{},
-		notify: make(chan struct{}, 1), nodes: map[string]*Node{}, table: table, carriers: map[string]Carry{}, agg: agg, queries: map[string]*query{},
+		notify: make(chan struct{}, 1), nodes: map[string]*Node{}, starts: map[string]time.Time{}, table: table, carriers: map[string]Carry{}, agg: agg, queries: map[string]*query{},
 		parts: map[string]*part{}, attempts: map[*Attempt]bool{}}
 	for i, class := range set.Classes {
 		c.classes[class.Name] = i
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -192,10 +192,14 @@
 	if len(r.Changes) > 0 || full {
 		c.zoneList(now)
 	}
+	var started []Sight
 	event := aggregator.Event{Kind: aggregator.ListChanged}
 	for _, m := range r.Changes {
 		c.apply(m)
 		event.Members = append(event.Members, c.member(m))
+		if ago := now.Sub(m.Started); m.State == Serving && !m.Started.IsZero() && ago < c.set.Rules.WarmAfter {
+			started = append(started, Sight{Node: m.ID, Started: true, Ago: ago, Busy: -1})
+		}
 	}
 	switch {
 	case full && remembered && !c.listed:
@@ -212,6 +216,11 @@
 	if news {
 		c.wakeUp()
 	}
+	if f := c.sight.Load(); f != nil {
+		for _, s := range started {
+			(*f)(s)
+		}
+	}
 	for _, n := range r.Notes {
 		c.explain(n)
 	}
@@ -308,7 +317,7 @@
 	if !m.Started.IsZero() {
 		out.Started = max(c.clock(m.Started), time.Nanosecond)
 	}
-	return c.worked(m, c.zoned(m, out))
+	return c.worked(m, c.zoned(m, c.toldStart(m, out)))
 }
 
 // node finds a listed data node.
--- a/internal/core/sight.go
+++ b/internal/core/sight.go
@@ -4,12 +4,14 @@
 
 import "time"
 
-// Sight is what the end of an attempt or a probe shows of a data node.
+// Sight is what the end of an attempt or a probe shows of a data node, or the list of its start, or a zone's verdict of all that fails there.
 type Sight struct {
 	Node    string
-	Failed  bool          // a refused or reset connection; else it answered
+	Failed  bool          // a refused or reset connection, or whatever its zone was left for; else it answered
 	Latency time.Duration // of an answered attempt; 0 where not known
 	Busy    float64       // as it reported; below 0 where it did not
+	Started bool          // it has lately; then nothing else is said
+	Ago     time.Duration // since then
 }
 
 // OnSight has f told of each from now on. It is called on core's own goroutines and must not block.
--- /dev/null
+++ b/internal/core/told.go
@@ -0,0 +1,75 @@
+package core
+
+// This file owns what other coordinators tell of data nodes, and what core makes of it: a start that the list has not told yet, and
+// failures as evidence on a zone. It must never let another's word outweigh what this coordinator has seen itself, nor hold on to it for
+// longer than a start or a piece of evidence counts.
+
+import (
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/zones"
+)
+
+// Told is what others tell of a data node.
+type Told struct {
+	Node     string
+	Failing  bool          // for another coordinator
+	Failed   time.Duration // how long ago
+	Answered time.Duration // how long ago it last answered anybody; below 0 where not known
+	Cold     bool          // it started, or came back
+	Started  time.Duration // how long ago
+}
+
+// startSlack is by how much a start that is told has to be later than the one known to be another: what is told grows younger on its
+// way, by the way's time.
+const startSlack = 2 * time.Second
+
+// unrefuted is for how long nobody may have told of an answer for a failure that is told to count: data nodes that others reach answer
+// somebody all the time, who tells that too.
+const unrefuted = 1500 * time.Millisecond
+
+// Hear takes in what others tell. A start counts where it is later than the one known: whoever is held for cold is spared. A failure is
+// evidence on a zone that is not left already, where this coordinator has heard nothing from the data node itself for as long as evidence
+// counts, and nobody has told of an answer since: one that is itself cut off from a zone tells that all of it fails.
+func (c *Core) Hear(list []Told) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.wakeUp()
+	defer c.mu.Unlock()
+	event := aggregator.Event{Kind: aggregator.ListChanged}
+	listed := map[string]Member{}
+	for _, m := range c.table.List() {
+		listed[m.ID] = m
+	}
+	for id, at := range c.starts {
+		if m, ok := listed[id]; !ok || m.State == Gone || now.Sub(at) > c.set.Rules.WarmAfter {
+			delete(c.starts, id)
+		}
+	}
+	for _, t := range list {
+		m, ok := listed[t.Node]
+		if !ok || m.State == Gone {
+			continue
+		}
+		if at := now.Add(-t.Started); t.Cold && t.Started < c.set.Rules.WarmAfter && at.After(m.Started.Add(startSlack)) && at.After(c.starts[t.Node].Add(startSlack)) {
+			c.starts[t.Node] = at
+			event.Members = append(event.Members, c.member(m))
+		}
+		if t.Failing && (t.Answered < 0 || t.Answered >= unrefuted && t.Answered > t.Failed) && c.zones != nil &&
+			now.Sub(c.zones.heard[t.Node]) >= c.zones.t.Window() && c.zones.t.Usable(m.Zone) {
+			c.zones.t.Observe(now, m.Zone, t.Node, zones.Hearsay)
+		}
+	}
+	if len(event.Members) > 0 {
+		c.inbox = append(c.inbox, input{event: event})
+	}
+}
+
+// toldStart turns a member's start by what others tell; the caller holds the lock.
+func (c *Core) toldStart(m Member, out aggregator.Member) aggregator.Member {
+	if at, ok := c.starts[m.ID]; ok {
+		out.Started = max(out.Started, c.clock(at))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/told_test.go
@@ -0,0 +1,132 @@
+package core
+
+// What others tell: a start makes a data node cold here too, and failures of a zone are evidence only where this coordinator knows
+// nothing itself and nobody says otherwise.
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/membership"
+	"gullfall/internal/zones"
+)
+
+func TestHear(t *testing.T) {
+	failing := func(failed, answered time.Duration) (list []Told) { // all four data nodes of zone a
+		for i := range 4 {
+			list = append(list, Told{Node: fmt.Sprint("a", i), Failing: true, Failed: failed, Answered: answered})
+		}
+		return list
+	}
+	const s = time.Second
+	for _, c := range []struct {
+		name  string
+		told  []Told
+		heard bool // this coordinator has answers from the zone itself
+		want  zones.Verdict
+	}{
+		{"it fails for another", failing(2*s, -1), false, zones.Out},
+		{"it answered somebody before", failing(2*s, 3*s), false, zones.Out},
+		{"it answered somebody since", failing(2*s, s), false, zones.Healthy},
+		{"it answers here", failing(2*s, -1), true, zones.Healthy},
+		{"it answered somebody just before", failing(s/2, s), false, zones.Healthy},
+		{"one data node is no zone", failing(2*s, -1)[:1], false, zones.Healthy},
+		{"of nobody that is listed", []Told{{Node: "x", Failing: true, Failed: 2 * s}, {Node: "y", Failing: true, Failed: 2 * s}}, false, zones.Healthy},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			rules := aggregator.Rules{DrainGrace: 2 * time.Second, WarmAfter: 5 * time.Second}
+			set := aggregator.Settings{Aggregators: 5, Tick: tick, Cells: 4, Shards: 4, Reach: 1, Rules: rules,
+				Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+			core, err := New(set, 7, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := core.WatchZones(zones.Config{Seed: 3}); err != nil {
+				t.Fatal(err)
+			}
+			core.Carrier("", func(n *Node) {
+				for o := n.Pick(t.Context()); o != nil; o = n.Pick(t.Context()) {
+				}
+			})
+			go core.Run(t.Context())
+			src := core.Source(membership.Spec{Name: "list"})
+			var list []Member
+			for _, z := range []string{"a", "b", "c"} {
+				for cell := range 4 {
+					list = append(list, Member{ID: fmt.Sprint(z, cell), Addr: fmt.Sprint(z, cell), Zone: z, Cell: cell, Weight: 1, Started: time.Now().Add(-time.Hour)})
+				}
+			}
+			src.Replace(list, false)
+			for range 5 { // longer than it takes to leave a zone, and shorter than to return
+				if c.heard {
+					for i := range 4 {
+						core.zoneSaw(core.node(fmt.Sprint("a", i)), nil, Served, time.Now())
+					}
+				}
+				core.Hear(c.told)
+				time.Sleep(250 * time.Millisecond)
+			}
+			for _, z := range core.Zones() {
+				if z.Zone == "a" && z.Verdict != c.want {
+					t.Errorf("%s: zone a is %v (%s), want %v", c.name, z.Verdict, z.Reason, c.want)
+				}
+			}
+			src.Replace(nil, false)
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// TestHearStart: a start that the list has not told yet makes a data node cold; the known one told again does not, nor does one long ago.
+func TestHearStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, err := New(aggregator.Settings{Aggregators: 2, Tick: tick, Cells: 1, Shards: 1, Reach: 1, Rules: aggregator.Rules{WarmAfter: 5 * time.Second},
+			Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}, 7, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		core.Carrier("", func(n *Node) {
+			for o := n.Pick(t.Context()); o != nil; o = n.Pick(t.Context()) {
+			}
+		})
+		var seen []Sight
+		core.OnSight(func(s Sight) { seen = append(seen, s) })
+		src := core.Source(membership.Spec{Name: "list"})
+		begun := time.Now()
+		old := Member{ID: "a", Addr: "a", Weight: 1, Started: begun.Add(-time.Minute)}
+		fresh := Member{ID: "b", Addr: "b", Weight: 1, Started: begun.Add(-time.Second)}
+		src.Replace([]Member{old, fresh}, false)
+		if len(seen) != 1 || !seen[0].Started || seen[0].Node != "b" || seen[0].Ago != time.Second {
+			t.Errorf("told on: %+v", seen)
+		}
+		for _, c := range []struct {
+			name string
+			told Told
+			m    Member
+			want time.Time
+		}{
+			{"long ago", Told{Node: "a", Cold: true, Started: 6 * time.Second}, old, old.Started},
+			{"the start that is known, grown younger on its way", Told{Node: "b", Cold: true, Started: 500 * time.Millisecond}, fresh, fresh.Started},
+			{"another start", Told{Node: "a", Cold: true, Started: time.Second}, old, begun.Add(-time.Second)},
+			{"that again, younger", Told{Node: "a", Cold: true, Started: 0}, old, begun.Add(-time.Second)},
+		} {
+			core.Hear([]Told{c.told})
+			core.mu.Lock()
+			got := core.member(c.m).Started
+			core.mu.Unlock()
+			if want := core.clock(c.want); got != want {
+				t.Errorf("%s: started at %v, want %v", c.name, got, want)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		core.Hear(nil)
+		if len(core.starts) > 0 {
+			t.Errorf("%v is kept of starts that count no more", core.starts)
+		}
+		src.Replace(nil, false)
+	})
+}
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -182,6 +182,12 @@
 		untold[key] = c.zones.untold[key]
 		delete(c.zones.untold, key)
 	}
+	var failing []string
+	for _, ch := range changes {
+		if ch.To == zones.Out {
+			failing = append(failing, c.zones.t.Failing(now, ch.Zone)...)
+		}
+	}
 	settled := true
 	for _, s := range c.zones.t.All(now) {
 		if s.Verdict != zones.Healthy || s.Failing > 0 {
@@ -197,6 +203,12 @@
 		c.log.Log(context.Background(), level, "zone "+ch.To.String(), "zone", ch.Zone, "was", ch.From.String(), "why", ch.Reason,
 			"untold", untold[ch.Zone+"\x00"+ch.To.String()])
 	}
+	// What was seen there is told once it is clear, as a silence is not by one attempt.
+	if f := c.sight.Load(); f != nil {
+		for _, id := range failing {
+			(*f)(Sight{Node: id, Failed: true, Busy: -1})
+		}
+	}
 	if !settled {
 		next = now.Add(zoneTick)
 	}
--- a/internal/gossip/facts.go
+++ b/internal/gossip/facts.go
@@ -75,6 +75,13 @@
 	g.learned.Saw(g.Since(), time.Now(), node, f, value)
 }
 
+// SawStart takes in that a data node started some time ago.
+func (g *Gossip) SawStart(node string, ago time.Duration) {
+	g.facts.Lock()
+	defer g.facts.Unlock()
+	g.learned.SawStart(g.Since(), time.Now(), node, ago)
+}
+
 // Learned is what is held of a data node by all that was told.
 func (g *Gossip) Learned(node string) learned.View {
 	g.facts.Lock()
--- a/internal/kv/db.go
+++ b/internal/kv/db.go
@@ -110,7 +110,7 @@
 	*table
 	number uint64
 	file   Reader
-	users  int // views that read it; guarded by the DB's lock
+	users  int // views that read it, and the store itself while it is in use; guarded by the DB's lock
 	gone   bool
 }
 
@@ -196,6 +196,7 @@
 		if err != nil {
 			return err
 		}
+		r.users = 1
 		db.runs = append(db.runs, r)
 	}
 	names, err := db.fs.List()
--- a/internal/kv/db_test.go
+++ b/internal/kv/db_test.go
@@ -4,6 +4,7 @@
 // against a disk whose power goes, which fills, or on which an operation fails.
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -371,3 +372,61 @@
 		t.Error(err)
 	}
 }
+
+// TestViewOfOpened: a view that was opened right after the store reads on while the runs that it found there are merged away, and
+// these go once it is closed.
+func TestViewOfOpened(t *testing.T) {
+	d := disk.New()
+	cfg := kv.Config{MemoryBytes: 4 << 10, MergeRate: 1 << 30}
+	open := func() *kv.DB {
+		t.Helper()
+		db, err := kv.Open(d, cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return db
+	}
+	write := func(db *kv.DB, from, to int) {
+		t.Helper()
+		for i := from; i < to; i++ {
+			if err := db.Write(kv.Batch{{Kind: kv.Put, Key: fmt.Appendf(nil, "k%04d", i), Value: bytes.Repeat([]byte("v"), 100)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	db := open()
+	write(db, 0, 400)
+	if err := errors.Join(db.Quiet(), db.Close()); err != nil {
+		t.Fatal(err)
+	}
+	db = open()
+	view := db.Snapshot()
+	write(db, 400, 4000) // what was found is merged with it
+	if err := db.Quiet(); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	if err := view.Each([]byte("k"), func(_, value []byte) bool { n++; return len(value) == 100 }); err != nil || n != 400 {
+		t.Errorf("the view reads %d of 400 keys: %v", n, err)
+	}
+	if _, err := view.Get([]byte("k0007")); err != nil {
+		t.Error(err)
+	}
+	view.Close()
+	names, err := d.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables := 0
+	for _, name := range names {
+		if strings.HasSuffix(name, ".table") {
+			tables++
+		}
+	}
+	if runs := db.Stats().Runs; tables != runs {
+		t.Errorf("%d tables are there, %d of them in use", tables, runs)
+	}
+	if err := db.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -188,6 +188,23 @@
 		f.Value >= 0 && !math.IsInf(f.Value, 0)
 }
 
+// SawStart takes in that a data node started, or came back, some time ago.
+func (t *Table) SawStart(now time.Duration, wall time.Time, id string, ago time.Duration) error {
+	f := Fact{Node: id, Field: Started, Age: max(ago, 0)}
+	if n := t.nodes[id]; n != nil && n.facts[Started].stamp.By != "" && now-f.Age-n.facts[Started].seen < t.c.Skew {
+		return nil // the same start, or an earlier one
+	}
+	if f.Age >= t.c.Keep {
+		return ErrOld
+	}
+	f.Stamp = t.stamp(wall)
+	if !f.sound() {
+		return ErrForm
+	}
+	t.put(now, f)
+	return nil
+}
+
 // Take takes in what another coordinator tells.
 func (t *Table) Take(now time.Duration, wall time.Time, f Fact) error {
 	switch {
@@ -289,14 +306,19 @@
 // View is what is held of a data node.
 type View struct {
 	Doubtful bool
+	FailedBy string        // who saw that it fails, where it is doubtful
+	Failed   time.Duration // how long ago
+	Answered time.Duration // how long ago it last answered anybody; below 0 where not known
 	ColdFor  time.Duration // that it is cold yet; 0 where it is warm or nothing is known
+	ColdBy   string        // who saw that
+	Started  time.Duration // how long ago it started, where it is cold
 	Latency  float64       // seconds; below 0 where not known
 	Busy     float64       // below 0 where not known
 }
 
 // Of is what is held of a data node now.
 func (t *Table) Of(now time.Duration, id string) View {
-	v := View{Latency: -1, Busy: -1}
+	v := View{Answered: -1, Latency: -1, Busy: -1}
 	n := t.nodes[id]
 	if n == nil {
 		return v
@@ -305,14 +327,20 @@
 		h := &n.facts[f]
 		return h, h.stamp.By != "" && now-h.seen < min(within, t.c.Keep)
 	}
+	good, answered := fresh(Answered, t.c.Keep)
+	if answered {
+		v.Answered = now - good.seen
+	}
 	if bad, ok := fresh(Failed, t.c.Hold); ok {
-		good, answered := fresh(Answered, t.c.Keep)
 		clears := answered && good.stamp.Compare(bad.stamp) > 0 &&
 			(good.stamp.By == bad.stamp.By || good.stamp.At > bad.stamp.At+t.c.Skew.Milliseconds())
-		v.Doubtful = !clears
+		if v.Doubtful = !clears; v.Doubtful {
+			v.FailedBy, v.Failed = bad.stamp.By, now-bad.seen
+		}
 	}
 	if h, ok := fresh(Started, t.c.Warm); ok {
-		v.ColdFor = t.c.Warm - (now - h.seen)
+		v.Started, v.ColdBy = now-h.seen, h.stamp.By
+		v.ColdFor = t.c.Warm - v.Started
 	}
 	if h, ok := fresh(Latency, t.c.Keep); ok {
 		v.Latency = h.value
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -6,7 +6,7 @@
 // # The verdicts
 //
 // A data node is failing while its last evidence within Window was bad (a refused or reset connection, a timeout,
-// a silent answer, its removal from the list, a drain) and nothing good came after it. A zone's share is its failing
+// a silent answer, its removal from the list, a drain, another coordinator's word) and nothing good came after it. A zone's share is its failing
 // data nodes over those it has; the others' share is the same over all other zones together. A zone is suspect
 // where at least MinFailing of its data nodes fail, its share is at least Doubt, and it is Margin above the others'
 // share: what fails everywhere alike is no zone's fault.
@@ -65,6 +65,7 @@
 	TimedOut                 // a part or a probe timed out, or the answer was silent
 	Removed                  // the list no longer names it
 	Drained                  // the list says it drains
+	Hearsay                  // another coordinator saw it fail
 )
 
 // Config holds the thresholds. The zero value of a field takes its default; Check says what is wrong with the rest.
@@ -174,6 +175,7 @@
 
 type node struct {
 	bad, good time.Time // last evidence of each kind
+	hearsay   bool      // the last bad was another's
 	listed    bool
 }
 
@@ -254,19 +256,40 @@
 	}
 }
 
-// Observe takes in evidence of one data node in a zone.
+// Window is for how long evidence counts.
+func (t *Tracker) Window() time.Duration { return t.cfg.Window }
+
+// Observe takes in evidence of one data node in a zone, as it was seen at a time. What was seen before what is known changes nothing.
 func (t *Tracker) Observe(now time.Time, zoneName, id string, e Evidence) {
 	n := t.node(zoneName, id)
 	if e == Good {
-		n.good = now
+		if now.After(n.good) {
+			n.good = now
+		}
 		return
 	}
-	n.bad = now
+	if now.After(n.bad) {
+		n.bad, n.hearsay = now, e == Hearsay
+	}
 	if z := t.zones[zoneName]; now.After(z.lastBad) {
 		z.lastBad = now
 	}
 }
 
+// Failing lists the data nodes of a zone that fail by what this coordinator has seen itself: what others have told is not to be told
+// them again.
+func (t *Tracker) Failing(now time.Time, zoneName string) (list []string) {
+	if z := t.zones[zoneName]; z != nil {
+		for id, n := range z.nodes {
+			if n.failing(now, t.cfg.Window) && !n.hearsay {
+				list = append(list, id)
+			}
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
 // Drain leaves a zone by an operator's word, whatever the guard says.
 func (t *Tracker) Drain(now time.Time, zoneName string) Change {
 	z := t.zone(zoneName)
