Zones: whether another's word counts is a rule of the tracker's, core passes it on

The rule stood in internal/core (told.go), where no model without core could play it; decisions belong to the package of their own. No change of what it decides but that a coordinator's own answer is that of its evidence (an answer that it was too busy no longer counts as one).

--- a/internal/core/told.go
+++ b/internal/core/told.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"gullfall/aggregator"
-	"gullfall/internal/zones"
 )
 
 // Told is what others tell of a data node.
@@ -25,13 +24,8 @@
 // way, by the way's time.
 const startSlack = 2 * time.Second
 
-// unrefuted is for how long nobody may have told of an answer for a failure that is told to count: data nodes that others reach answer
-// somebody all the time, who tells that too.
-const unrefuted = 1500 * time.Millisecond
-
-// Hear takes in what others tell. A start counts where it is later than the one known: whoever is held for cold is spared. A failure is
-// evidence on a zone that is not left already, where this coordinator has heard nothing from the data node itself for as long as evidence
-// counts, and nobody has told of an answer since: one that is itself cut off from a zone tells that all of it fails.
+// Hear takes in what others tell. A start counts where it is later than the one known: whoever is held for cold is spared. Whether a
+// failure is evidence on its zone is internal/zones' to say.
 func (c *Core) Hear(list []Told) {
 	now := time.Now()
 	c.mu.Lock()
@@ -56,9 +50,8 @@
 			c.starts[t.Node] = at
 			event.Members = append(event.Members, c.member(m))
 		}
-		if t.Failing && (t.Answered < 0 || t.Answered >= unrefuted && t.Answered > t.Failed) && c.zones != nil &&
-			now.Sub(c.zones.heard[t.Node]) >= c.zones.t.Window() && c.zones.t.Usable(m.Zone) {
-			c.zones.t.Observe(now, m.Zone, t.Node, zones.Hearsay)
+		if t.Failing && c.zones != nil {
+			c.zones.t.Hear(now, m.Zone, t.Node, t.Failed, t.Answered)
 		}
 	}
 	if len(event.Members) > 0 {
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -256,9 +256,6 @@
 	}
 }
 
-// Window is for how long evidence counts.
-func (t *Tracker) Window() time.Duration { return t.cfg.Window }
-
 // Observe takes in evidence of one data node in a zone, as it was seen at a time. What was seen before what is known changes nothing.
 func (t *Tracker) Observe(now time.Time, zoneName, id string, e Evidence) {
 	n := t.node(zoneName, id)
@@ -276,6 +273,23 @@
 	}
 }
 
+// unrefuted is for how long nobody may have told of an answer for a failure that is told to count: data nodes that others reach answer
+// somebody all the time, who tells that too.
+const unrefuted = 1500 * time.Millisecond
+
+// Hear takes in that a data node fails for another coordinator, failed ago, and answered somebody last so long ago; below 0 where that is
+// not known. It counts as evidence from now on, where the zone is not left already, this coordinator has no answer from the data node
+// itself within Window, and nobody tells of an answer since: one that is itself cut off from a zone tells that all of it fails.
+func (t *Tracker) Hear(now time.Time, zoneName, id string, failed, answered time.Duration) {
+	z := t.zones[zoneName]
+	if z == nil || z.nodes[id] == nil || !t.Usable(zoneName) || now.Sub(z.nodes[id].good) < t.cfg.Window {
+		return
+	}
+	if answered < 0 || answered >= unrefuted && answered > failed {
+		t.Observe(now, zoneName, id, Hearsay)
+	}
+}
+
 // Failing lists the data nodes of a zone that fail by what this coordinator has seen itself: what others have told is not to be told
 // them again.
 func (t *Tracker) Failing(now time.Time, zoneName string) (list []string) {
