--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -21,6 +21,7 @@
 	Flight    flightCmd    `cmd:"" help:"Run the conformance suite of the second front, and measure it."`
 	Dnssd     dnssdCmd     `cmd:"" name:"dnssd" help:"Measure how long after its record is gone a data node still gets work."`
 	Fleet     fleetCmd     `cmd:"" help:"Count what all coordinators of a played day have logged: how queries ended badly, over the fleet and over time."`
+	Model     modelCmd     `cmd:"" help:"Days in small, in virtual time: a lost zone, coordinators that start anew, data nodes replaced."`
 	Peers     peersCmd     `cmd:"" help:"Coordinators that watch each other: stalls, kills, lost packets, cuts one way and both; or --sizes in virtual time."`
 	Plan      planCmd      `cmd:"" help:"Orders in which machines go out for work, against the least there can be, zone by zone and one by one."`
 	Replicate replicateCmd `cmd:"" help:"Read, put and swap values of the coordinators' store among kills, stalls and cuts, and check that the history is linearizable."`
--- /dev/null
+++ b/cmd/gullfall-lab/model.go
@@ -0,0 +1,110 @@
+package main
+
+// This file owns `gullfall-lab model`: days in small, in virtual time, for each way in which coordinators learn of a lost zone. It must
+// never compare figures of different loads or seeds.
+
+import (
+	"fmt"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"gullfall/internal/lab/model"
+)
+
+type modelCmd struct {
+	Day          string  `default:"zone" help:"quiet, zone, fresh or roll."`
+	Coordinators int     `default:"100" help:"How many coordinators share the load."`
+	Load         float64 `default:"0.5" help:"How busy the data nodes are when all are there."`
+	Seeds        int     `default:"5" help:"How many seeds, from 1 on."`
+	Plot         string  `help:"Draw what was served over time into this file (PNG or SVG)."`
+	JSON         string  `name:"json" help:"Write the figures here."`
+}
+
+// modelRow is a way, over all seeds.
+type modelRow struct {
+	Way      string    `json:"way"`
+	Served   float64   `json:"served"`
+	First10  float64   `json:"served_first_10s"` // from the loss on
+	Worst    float64   `json:"worst_half_second"`
+	Gone     float64   `json:"attempts_at_lost_zone"`
+	Fell     int       `json:"pushed_over"`
+	Lost     int       `json:"lost"`
+	Twins    int       `json:"twins"`
+	After    int       `json:"after_grace"`
+	Attempts float64   `json:"attempts"`
+	Over     []float64 `json:"served_over_time"` // by half seconds
+}
+
+// Run plays.
+func (m *modelCmd) Run() error {
+	var rows []modelRow
+	fmt.Printf("%-10s %8s %10s %8s %10s %8s %6s\n", "way", "served", "first 10 s", "worst", "at lost", "pushed", "lost")
+	for _, way := range model.Ways {
+		row := modelRow{Way: way, Worst: 1}
+		for seed := range m.Seeds {
+			c, err := model.Day(m.Day, way, m.Coordinators, m.Load, uint64(seed+1))
+			if err != nil {
+				return err
+			}
+			f, err := model.Run(c)
+			if err != nil {
+				return err
+			}
+			n := float64(m.Seeds)
+			row.Served, row.Gone, row.Attempts = row.Served+f.Served/n, row.Gone+float64(f.Gone)/n, row.Attempts+f.Attempts/n
+			row.Fell, row.Lost, row.Twins, row.After = row.Fell+f.Fell, row.Lost+f.Lost, row.Twins+f.Twins, row.After+f.After
+			if row.Over == nil {
+				row.Over = make([]float64, len(f.Over))
+			}
+			for i := range min(len(row.Over), len(f.Over)) {
+				row.Over[i] += f.Over[i] / n
+			}
+		}
+		row.Worst = slices.Min(row.Over)
+		from := int(model.Lost.Seconds() * 2)
+		for _, x := range row.Over[from : from+20] {
+			row.First10 += x / 20
+		}
+		rows = append(rows, row)
+		fmt.Printf("%-10s %8.4f %10.4f %8.3f %10.0f %8d %6d\n", way, row.Served, row.First10, row.Worst, row.Gone, row.Fell, row.Lost)
+	}
+	if m.Plot != "" {
+		if err := m.draw(rows); err != nil {
+			return err
+		}
+	}
+	if err := writeJSON(m.JSON, map[string]any{"day": m.Day, "coordinators": m.Coordinators, "load": m.Load, "seeds": m.Seeds, "ways": rows}); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Fell+r.Lost+r.Twins+r.After > 0 {
+			return fmt.Errorf("%s: %d cold data nodes pushed over, %d queries lost, %d twins, %d sent after a drain's grace", r.Way, r.Fell, r.Lost, r.Twins, r.After)
+		}
+	}
+	return nil
+}
+
+func (m *modelCmd) draw(rows []modelRow) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: %d coordinators, load %.2f, mean of %d seeds", m.Day, m.Coordinators, m.Load, m.Seeds)
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "served within the aim, share"
+	p.Legend.Left = true
+	for i, r := range rows {
+		var points plotter.XYs
+		for k, y := range r.Over {
+			points = append(points, plotter.XY{X: float64(k) / 2, Y: y})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(r.Way, line)
+	}
+	return p.Save(18*vg.Centimeter, 10*vg.Centimeter, m.Plot)
+}
