--- a/internal/kv/db.go
+++ b/internal/kv/db.go
@@ -352,6 +352,25 @@
 	return seq
 }
 
+// spansFrom lists the ranges that are deleted as of the view and reach beyond a key, by where they end.
+func (v *View) spansFrom(key []byte) (list []span) {
+	look := func(of []span) {
+		for _, s := range of {
+			if s.seq <= v.seq && bytes.Compare(s.to, key) > 0 {
+				list = append(list, s)
+			}
+		}
+	}
+	for _, m := range v.tables {
+		look(m.spans)
+	}
+	for _, r := range v.runs {
+		look(r.spans)
+	}
+	slices.SortFunc(list, func(a, b span) int { return bytes.Compare(a.to, b.to) })
+	return list
+}
+
 // Get is a key's value, or ErrNotFound.
 func (v *View) Get(key []byte) ([]byte, error) {
 	found, ok := entry{}, false
@@ -386,6 +405,7 @@
 		return err
 	}
 	var last []byte
+	spans := v.spansFrom(prefix)
 	for begun := false; ; {
 		e, ok, err := next()
 		if err != nil {
@@ -398,7 +418,10 @@
 			continue
 		}
 		last, begun = append(last[:0], e.key...), true
-		if e.deleted || e.seq < v.deletedBelow(e.key) {
+		for len(spans) > 0 && bytes.Compare(spans[0].to, e.key) <= 0 { // keys come in order: it holds none of those to come
+			spans = spans[1:]
+		}
+		if e.deleted || slices.ContainsFunc(spans, func(s span) bool { return e.seq < s.seq && s.holds(e.key) }) {
 			continue
 		}
 		if !each(e.key, e.value) {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -158,8 +158,21 @@
 		return err
 	}
 	for _, kind := range []byte{keyValue, keyValuePart} {
-		b = append(b, kv.Op{Kind: kv.DeleteRange, Key: key(kind, place(0)), Value: key(kind, place(d.generation))},
-			kv.Op{Kind: kv.DeleteRange, Key: key(kind, place(d.generation+1)), Value: []byte{kind + 1}})
+		other := false
+		err := view.Each([]byte{kind}, func(key, _ []byte) bool {
+			other = binary.BigEndian.Uint64(key[1:]) != d.generation
+			return !other
+		})
+		if err != nil {
+			return err
+		}
+		if other {
+			b = append(b, kv.Op{Kind: kv.DeleteRange, Key: key(kind, place(0)), Value: key(kind, place(d.generation))},
+				kv.Op{Kind: kv.DeleteRange, Key: key(kind, place(d.generation+1)), Value: []byte{kind + 1}})
+		}
+	}
+	if len(b) == 0 {
+		return nil
 	}
 	return d.db.Write(b)
 }
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -7,7 +7,7 @@
 
 // The bounds of what is kept behind a snapshot.
 const (
-	tailBytes    = 8 << 20 // a member away for a minute is sent the entries; for a day, a snapshot
+	tailBytes    = 4 << 20 // a member away for a minute is sent the entries; for a day, a snapshot
 	tailLeast    = 16      // entries
 	tailMost     = 65_536
 	snapshotEach = 2 << 20 // bytes of entries: what a start replays beside the snapshot
