--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -8,13 +8,13 @@
 package model
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"gullfall/aggregator"
+	"gullfall/internal/lab/vtime"
 	"gullfall/internal/learned"
 	"gullfall/internal/zones"
 )
@@ -83,28 +83,6 @@
 		Limits:  aggregator.Limits{Attempts: 3, Bundle: 1, Cancel: true, Probes: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second}}
 }
 
-// A turn, an answer, a change: whatever happens at a time.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type dataNode struct {
 	id      string
 	zone    string
@@ -185,8 +163,7 @@
 	c      Config
 	rng    *rand.Rand
 	now    time.Duration
-	order  int
-	queue  events
+	queue  vtime.Queue[func()] // a turn, an answer, a change: whatever happens at a time
 	nodes  []*dataNode
 	coords []*coordinator
 	number int
@@ -228,10 +205,9 @@
 		}
 	}
 	end := time.Hour + c.For
-	for len(m.queue) > 0 && m.queue[0].at <= end+limit+time.Second {
-		e := heap.Pop(&m.queue).(event)
-		m.now = max(m.now, e.at)
-		e.do()
+	for at, do, ok := m.queue.Next(end + limit + time.Second); ok; at, do, ok = m.queue.Next(end + limit + time.Second) {
+		m.now = max(m.now, at)
+		do()
 	}
 	f := &m.figures
 	whole := 0
@@ -251,10 +227,7 @@
 	return *f, nil
 }
 
-func (m *Model) at(t time.Duration, do func()) {
-	m.order++
-	heap.Push(&m.queue, event{t, m.order, do})
-}
+func (m *Model) at(t time.Duration, do func()) { m.queue.Put(t, do) }
 
 func (m *Model) after(d time.Duration, do func()) { m.at(m.now+d, do) }
 
--- a/internal/lab/peersim/peersim.go
+++ b/internal/lab/peersim/peersim.go
@@ -4,13 +4,13 @@
 package peersim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
 
+	"gullfall/internal/lab/vtime"
 	"gullfall/internal/swim"
 )
 
@@ -47,7 +47,6 @@
 
 type event struct {
 	at     time.Duration
-	order  int
 	to     int
 	from   int
 	body   any
@@ -55,21 +54,6 @@
 	stream bool
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type node struct {
 	d      detector
 	up     bool
@@ -85,8 +69,7 @@
 	c       Config
 	rng     *rand.Rand
 	now     time.Duration
-	order   int
-	queue   events
+	queue   vtime.Queue[event]
 	nodes   []*node
 	cut     map[[2]int]bool // from, to
 	Packets int
@@ -146,11 +129,7 @@
 // Name is the name of a member.
 func Name(i int) string { return fmt.Sprintf("c%04d", i) }
 
-func (f *Fleet) push(e event) {
-	f.order++
-	e.order = f.order
-	heap.Push(&f.queue, e)
-}
+func (f *Fleet) push(e event) { f.queue.Put(e.at, e) }
 
 func (f *Fleet) wakeNode(i int, at time.Duration) {
 	f.nodes[i].wakeAt = at
@@ -159,8 +138,7 @@
 
 // Run plays until a time.
 func (f *Fleet) Run(until time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(event)
+	for _, e, ok := f.queue.Next(until); ok; _, e, ok = f.queue.Next(until) {
 		f.now = max(f.now, e.at)
 		n := f.nodes[e.to]
 		switch {
