--- a/internal/core/told_test.go
+++ b/internal/core/told_test.go
@@ -81,6 +81,29 @@
 	}
 }
 
+// TestLongListIsLoggedByKind: a list of thousands costs a line of each kind; a few are told one by one.
+func TestLongListIsLoggedByKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct{ nodes, single, byKind int }{{mostLines, mostLines, 0}, {10_000, 0, 1}} {
+			var logged lines
+			core, err := New(aggregator.Settings{Aggregators: 1, Tick: tick, Cells: 1, Shards: 1, Reach: 1,
+				Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Need: 1, Floor: 1}}}, 7, slog.New(slog.NewTextHandler(&logged, nil)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			core.Carrier("", func(*Node) {})
+			var list []Member
+			for i := range c.nodes {
+				list = append(list, Member{ID: fmt.Sprint("n", i), Addr: fmt.Sprint("n", i), Weight: 1})
+			}
+			core.Source(membership.Spec{Name: "list"}).Change(list)
+			if single, byKind := logged.count("msg=\"data node listed\""), logged.count("msg=\"data nodes listed\" count=10000"); single != c.single || byKind != c.byKind {
+				t.Errorf("%d data nodes: %d lines of one, %d of a kind; want %d and %d", c.nodes, single, byKind, c.single, c.byKind)
+			}
+		}
+	})
+}
+
 // TestHearStart: a start that the list has not told yet makes a data node cold; the known one told again does not, nor does one long ago.
 func TestHearStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"testing"
 	"time"
 
@@ -11,10 +10,16 @@
 	"gullfall/internal/replica"
 )
 
-// BenchmarkDo: acknowledged writes of 100 bytes at one member with a disk, by one writer and by many.
+// put100 has a member write 100 bytes.
+func put100(ctx context.Context, s *Store) error {
+	r, err := s.Do(ctx, replica.Command{Put: []replica.Pair{{Key: "k", Value: make([]byte, 100)}}})
+	return errors.Join(err, r.Err())
+}
+
+// BenchmarkDo: acknowledged writes of 100 bytes at one member with a disk, by one writer and by four for each processor.
 func BenchmarkDo(b *testing.B) {
-	for _, writers := range []int{1, 32} {
-		b.Run(fmt.Sprint(writers), func(b *testing.B) {
+	for _, name := range []string{"one", "many"} {
+		b.Run(name, func(b *testing.B) {
 			s, err := Open(config.Store{Directory: b.TempDir()}, "n0", quiet)
 			if err != nil {
 				b.Fatal(err)
@@ -22,18 +27,14 @@
 			defer s.Close()
 			ctx, cancel := context.WithDeadline(b.Context(), time.Now().Add(time.Minute))
 			defer cancel()
-			put := func(key string) error {
-				r, err := s.Do(ctx, replica.Command{Put: []replica.Pair{{Key: key, Value: make([]byte, 100)}}})
-				return errors.Join(err, r.Err())
-			}
-			if err := put("first"); err != nil {
+			if err := put100(ctx, s); err != nil {
 				b.Fatal(err)
 			}
-			b.SetParallelism(max(1, writers/8))
+			b.SetParallelism(4)
 			b.ResetTimer()
-			if writers == 1 {
+			if name == "one" {
 				for b.Loop() {
-					if err := put("k"); err != nil {
+					if err := put100(ctx, s); err != nil {
 						b.Fatal(err)
 					}
 				}
@@ -41,11 +42,55 @@
 			}
 			b.RunParallel(func(p *testing.PB) {
 				for p.Next() {
-					if err := put("k"); err != nil {
-						b.Fatal(err)
+					if err := put100(ctx, s); err != nil {
+						b.Error(err)
+						return
 					}
 				}
 			})
 		})
 	}
 }
+
+// BenchmarkOpen: a member's disk is opened on which 80,000 entries were written, of which the last are kept. Its growth is that of what is
+// kept of the log (tail.go), not of all that was written.
+func BenchmarkOpen(b *testing.B) {
+	dir := b.TempDir()
+	for range 5 {
+		s, err := Open(config.Store{Directory: dir}, "n0", quiet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ctx, cancel := context.WithDeadline(b.Context(), time.Now().Add(time.Minute))
+		done := make(chan error, 16)
+		for range cap(done) {
+			go func() {
+				for range 1000 {
+					if err := put100(ctx, s); err != nil {
+						done <- err
+						return
+					}
+				}
+				done <- nil
+			}()
+		}
+		for range cap(done) {
+			if err := <-done; err != nil {
+				b.Fatal(err)
+			}
+		}
+		cancel()
+		if err := s.Close(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		d, err := openDisk(dir, quiet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := d.Close(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/store/disk_test.go
+++ b/internal/store/disk_test.go
@@ -364,6 +364,15 @@
 	if len(s.list) > 2*tailMost || s.from+uint64(len(s.list)) != 5*tailMost-8 {
 		t.Errorf("%d sizes from %d on", len(s.list), s.from)
 	}
+	// What is cut off and then passed over by a gap is not taken for its beginning.
+	var gap sizes
+	for i := range 10 {
+		gap.add(uint64(i+1), 10)
+	}
+	gap.cut(1)
+	if gap.add(11, 10); gap.from != 11 || len(gap.list) != 1 {
+		t.Errorf("behind a gap: %d sizes from %d on", len(gap.list), gap.from)
+	}
 }
 
 // TestFullDisk: what the library can't go on without waits for room; the log says that there is none, and takes entries once there is;
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -318,3 +319,23 @@
 		})
 	}
 }
+
+// TestHearsayIsNotTold: what others have told of a data node is no evidence to be told them again; what is seen here later is.
+func TestHearsayIsNotTold(t *testing.T) {
+	tr, err := New(Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_000_000, 0)
+	tr.List(now, map[string]string{"a0": "a", "a1": "a", "a2": "a", "b0": "b"})
+	tr.Observe(now, "a", "a0", Refused)
+	tr.Hear(now, "a", "a1", 0, -1)
+	tr.Hear(now, "a", "a2", 0, -1)
+	tr.Observe(now.Add(time.Millisecond), "a", "a2", TimedOut)
+	if got := tr.Failing(now.Add(time.Second), "a"); !slices.Equal(got, []string{"a0", "a2"}) {
+		t.Errorf("told on: %v, want what was seen here: a0 and a2", got)
+	}
+	if got := tr.Failing(now.Add(time.Hour), "a"); len(got) > 0 {
+		t.Errorf("an hour later: %v", got)
+	}
+}
