Client connections end in one place: what was read is answered, what comes later is not begun

Read along the table of paths that end things; the faults below were found by reading and shown by tests over loopback connections that hold the instant (internal/platform/ending_test.go).

- A connection was closed by whoever evicted it or by SIGTERM, also in the moment after its request had been read (clients.go evict, Close): that request had no answer.
- The last answer was followed by a close at once (clients.go run): bytes still coming in made it a reset.
- A client that had sent a second request ahead could leave unseen (Peek of one byte): reading goes on, within bounds.
- Requests sent ahead were dropped by a drain, and their time ran from their turn, not from when they came in.
- A part that waited for a connection went out after its client had left where attempts can't be cancelled, and to a data node whose restart was told meanwhile: both fronts' carriers ask core.Attempt.Sendable as the frame is written.
- An indented list ended the watch each time.
A list of an earlier run that discovery does not confirm within three quarters of the grace is no longer used: what the agent had counts as told from the process's first moment.

--- a/cmd/gullfall/serve.go
+++ b/cmd/gullfall/serve.go
@@ -40,6 +40,10 @@
 	// By the longest limit of a class and this much more every query has its answer; whoever still reads one then
 	// is not waited for.
 	readUntil = 15 * time.Second
+	// SIGKILL follows SIGTERM after the longest limit of a class, or killAfter if that is sooner, and 0.7 s more. What
+	// comes in between is answered within killSlack of that, so that it finds none of it open.
+	killAfter = 3 * time.Second
+	killSlack = 600 * time.Millisecond
 )
 
 // Who owns a data node that several sources name: records say sooner than discovery what its operators mean.
@@ -125,6 +129,7 @@
 	watch.Keep = func(list []byte) { kept.Put(store.Members, list) }
 	watch.Calls = membership.Calls{Pushed: !cfg.Settings.Subscribe, Others: cfg.Settings.Aggregators - 1,
 		Grace: cfg.Settings.Rules.DrainGrace, AskEvery: cfg.Settings.Rules.AskEvery}
+	watch.Confirm = watch.Calls.Confirm()
 	watch.Draw = rand.New(rand.NewPCG(cfg.Seed, 2)).Float64
 	if len(cfg.Known) > 0 {
 		watch.Remember(cfg.Known)
@@ -165,8 +170,8 @@
 	if deploy.Flight.Listen != "" {
 		most -= cfg.Limits.Sockets / 8
 	}
-	clients := &platform.Clients{Core: c, Log: log, Most: most, Busy: cfg.Limits.Sockets / 3,
-		Hold: int64(cfg.Limits.MemoryMB) << 20 / 16, Again: c.Again()}
+	clients := &platform.Clients{Core: c, Log: log, MaxConns: most, BusyConns: cfg.Limits.Sockets / 3,
+		BodyMemory: int64(cfg.Limits.MemoryMB) << 20 / 16, RetryAfter: c.Again()}
 	go func() { served <- clients.Serve(ln) }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 
@@ -184,7 +189,9 @@
 		own.Withdraw() // first of all: who finds us by our records is to find another
 	}
 	leaveWork(work, log)
-	answered := drain(c, clients, second, ln, signals, time.Now().Add(longest(cfg.Settings)+readUntil), log)
+	longestQuery := longest(cfg.Settings)
+	clients.Drain(time.Now().Add(min(longestQuery, killAfter) + killSlack))
+	answered := drain(c, clients, second, ln, signals, time.Now().Add(longestQuery+readUntil), log)
 	endWork(work, answered && c.Open() == 0)
 	return nil
 }
@@ -357,7 +364,6 @@
 // all was answered and read.
 func drain(c *core.Core, clients *platform.Clients, second *flight.Server, ln net.Listener,
 	signals <-chan os.Signal, end time.Time, log *slog.Logger) (answered bool) {
-	clients.Drain()
 	time.Sleep(restUntil)
 	clients.CloseIdle()
 	time.Sleep(listenUntil - restUntil)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,15 +108,33 @@
 	number int
 	part   *part
 	node   *Node
+	seen   uint64 // the list that the module decided by
 	begun  time.Time
 	why    aggregator.Outcome // of a drop that was ordered
 	over   bool
 	end    Outcome
 }
 
-// Late tells that an attempt may not be begun any more, though its deadline has not passed: its holders drop a repeat only
-// for so long. It is to be turned back as Busy.
-func (a *Attempt) Late(now time.Time) bool { return !a.begin.IsZero() && now.After(a.begin) }
+// Sendable decides, at the moment in which an attempt's frame is written, whether it may still go out; much may have
+// happened while it waited for a connection. One that may not is to be reported with the outcome returned.
+//
+//	its query has ended, or its client has left          NotSent
+//	the list says draining or gone                       Busy
+//	the list says of a restart that the module had not   NotSent: its share of a slow start was not looked at
+//	a repeat may no longer be dropped by its holders     Busy
+func (a *Attempt) Sendable(now time.Time) (outcome Outcome, ok bool) {
+	switch {
+	case a.part.q.ended.Load():
+		return NotSent, false
+	case a.node.Barred():
+		return Busy, false
+	case a.node.restarted.Load() > a.seen:
+		return NotSent, false
+	case !a.begin.IsZero() && now.After(a.begin):
+		return Busy, false
+	}
+	return 0, true
+}
 
 // Order is one thing that a carrier is to do at a data node; one field is set.
 type Order struct {
@@ -133,6 +151,7 @@
 	reply chan Answer
 	taken time.Time
 	over  bool
+	ended atomic.Bool // it is over, or its client has left: nothing of it may begin
 }
 
 type part struct {
@@ -176,6 +195,7 @@
 	work     *workWatch       // nil where machines are not taken out for work
 	sight    atomic.Pointer[func(Sight)]
 	starts   map[string]time.Time // of data nodes, as others tell; guarded by mu
+	version  uint64               // of the joined list; guarded by mu
 
 	// The loop's own.
 	agg      *aggregator.Aggregator
@@ -186,6 +206,7 @@
 	held     []input // not due yet
 	wake     time.Time
 	last     time.Time
+	seen     uint64 // the version of the list that the module knows
 }
 
 // New returns a core for the settings; the seed settles the module's random choices.
@@ -350,6 +371,7 @@
 	case answer := <-q.reply:
 		return answer, nil
 	case <-ctx.Done():
+		q.ended.Store(true)
 		c.put(input{event: aggregator.Event{Kind: aggregator.ClientGone, Query: q.ID}, ask: q})
 		return Answer{}, ErrGone
 	}
@@ -521,6 +543,7 @@
 func (c *Core) lists() (events []aggregator.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.seen = c.version
 	c.inbox = slices.DeleteFunc(c.inbox, func(in input) bool {
 		if isList(in.event.Kind) {
 			events = append(events, in.event)
@@ -668,7 +691,7 @@
 		return
 	}
 	a := &Attempt{ID: p.id, Shard: p.shard, Text: p.q.Text, IdempotencyKey: p.q.IdempotencyKey, Deadline: now.Add(act.After), number: len(p.tries),
-		part: p, node: n, begun: now}
+		part: p, node: n, seen: c.seen, begun: now}
 	if act.After <= 0 || a.Deadline.After(p.q.Deadline) {
 		a.Deadline = p.q.Deadline
 	}
@@ -711,6 +734,7 @@
 		return
 	}
 	q.over = true
+	q.ended.Store(true)
 	c.log.Debug("query ended", "query", q.ID, "class", q.Class, "verdict", answer.Verdict, "whole", answer.Whole,
 		"parts", len(q.parts), "took", time.Since(q.taken))
 	delete(c.queries, q.ID)
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -44,7 +44,8 @@
 	out     int  // attempts without an end
 	retired bool // it has left the list; its carrier ends once nothing is out
 
-	announced atomic.Bool // may go out for work: to be sent to only while this coordinator is present
+	restarted atomic.Uint64 // the version of the list that told of its last start, where one was known before
+	announced atomic.Bool   // may go out for work: to be sent to only while this coordinator is present
 }
 
 // ID is the data node's name in its list.
@@ -199,6 +200,7 @@
 	if len(r.Changes) > 0 || full {
 		c.zoneList(now)
 	}
+	c.version++
 	var started []Sight
 	event := aggregator.Event{Kind: aggregator.ListChanged}
 	for _, m := range r.Changes {
@@ -326,6 +328,9 @@
 		n = &Node{id: m.ID, c: c, carry: carry, ready: make(chan struct{}, 1)}
 		c.nodes[m.ID] = n
 	}
+	if m.Started.After(n.member.Started) && n.member.ID != "" {
+		n.restarted.Store(c.version)
+	}
 	n.member = m
 	n.announced.Store(c.mayGo(m))
 	n.bar(m.State != Serving || c.inWork(m))
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -421,7 +421,7 @@
 
 // frontHTTP is the platform's front and its client.
 func frontHTTP(c *core.Core, ln net.Listener) (asker, func()) {
-	clients := &platform.Clients{Core: c, Log: quiet, Most: 64, Hold: 1 << 20}
+	clients := &platform.Clients{Core: c, Log: quiet, MaxConns: 64, BodyMemory: 1 << 20}
 	go clients.Serve(&conns{Listener: ln, narrow: true})
 	ids := ids()
 	ask := func(ctx context.Context, class, owner string, shards ...int) string {
@@ -462,7 +462,7 @@
 		}
 		return words(answer.Complete, docs)
 	}
-	return ask, func() { clients.Drain(); clients.CloseIdle(); ln.Close(); clients.Wait() }
+	return ask, func() { clients.Drain(time.Now().Add(time.Minute)); clients.CloseIdle(); ln.Close(); clients.Wait() }
 }
 
 // post writes a request.
--- a/internal/flight/nodecalls.go
+++ b/internal/flight/nodecalls.go
@@ -135,21 +135,17 @@
 func (p *peer) begin(g *group, ch *channel) (ask PartsAsk, live bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.node.Barred() {
-		for _, a := range g.list {
-			p.finish(g, a, core.Result{Outcome: core.Busy})
-		}
-	}
 	g.ch = ch
+	now := time.Now()
 	for _, a := range g.list {
 		if g.left[a.ID] != a {
 			continue // given up while it waited
 		}
-		if a.Late(time.Now()) {
-			p.finish(g, a, core.Result{Outcome: core.Busy})
+		if outcome, ok := a.Sendable(now); !ok {
+			p.finish(g, a, core.Result{Outcome: outcome})
 			continue
 		}
-		p.calls[a].begun, p.calls[a].ch = time.Now(), ch
+		p.calls[a].begun, p.calls[a].ch = now, ch
 		ask.Parts = append(ask.Parts, PartAsk{ID: a.ID, Shard: a.Shard, Q: a.Text, Key: a.IdempotencyKey,
 			DeadlineMS: max(1, time.Until(a.Deadline).Milliseconds())})
 	}
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -296,9 +296,10 @@
 		return core.Result{Outcome: unsent(err)}
 	}
 	p.mu.Lock()
-	barred := p.node.Barred() || a.Late(time.Now())
-	if c.ch = ch; !barred {
-		c.begun = time.Now()
+	now := time.Now()
+	turnedBack, sendable := a.Sendable(now)
+	if c.ch = ch; sendable {
+		c.begun = now
 	}
 	p.mu.Unlock()
 	defer func() {
@@ -310,8 +311,8 @@
 			r = core.Result{Outcome: core.Errored}
 		}
 	}()
-	if barred {
-		return core.Result{Outcome: core.Busy}
+	if !sendable {
+		return core.Result{Outcome: turnedBack}
 	}
 	ticket, _ := json.Marshal(PartTicket{ID: a.ID, Shard: a.Shard, Q: a.Text, Key: a.IdempotencyKey})
 	stream, err := ch.client.DoGet(ctx, &flight.Ticket{Ticket: ticket})
--- a/internal/membership/calls.go
+++ b/internal/membership/calls.go
@@ -18,7 +18,9 @@
 //	asked, a watch has ended:  first pause <= (Told + G - Quiet) / 2, the other half is the call's turn
 //	asked, calls bring nothing:  pause <= AskEvery, the settings' own clock for one that has not asked
 //
-// Where discovery stays silent nothing new can be heard: the coordinator goes on with the list in hand.
+//	a list of an earlier run, not confirmed yet:  used for Confirm = 3G/4 at most
+//
+// Where discovery falls silent nothing new can be heard: the coordinator goes on with the list in hand.
 
 import "time"
 
@@ -80,6 +82,10 @@
 	return Quiet
 }
 
+// Confirm is how long a list of an earlier run may be used before the source has answered. What the source had by the start
+// counts as told from then on, and the rest of the grace is for what is on its way then.
+func (c *Calls) Confirm() time.Duration { return c.grace() * 3 / 4 }
+
 // First is how long the first call is put off; draw is from 0 to 1. What is listed may be a drain that the list in hand
 // does not know of, so half of the grace bounds it, and where no list is held it can't wait.
 func (c *Calls) First(draw float64) time.Duration {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,13 +34,19 @@
 	Keep   func(list []byte) // takes in the list, in discovery's form, after each change; may be nil
 	Calls  membership.Calls  // when the list is called for
 	Draw   func() float64    // from 0 to 1, not the same in each coordinator
+	// Confirm is how long a remembered list is used before discovery has answered; 0 sets no bound.
+	Confirm time.Duration
 
 	moves   chan string
 	addr    string
 	version int64
-	listed  bool                       // a list was told, or remembered
-	moved   bool                       // and not by the address in use
-	away    bool                       // the last try failed, and was logged
+	listed  bool // a list was told, or remembered
+	moved   bool // and not by the address in use
+	away    bool // the last try failed, and was logged
+
+	confirmed bool // discovery has answered since the start
+	withheld  bool // the remembered list is not used
+
 	entries map[string]json.RawMessage // by id
 }
 
@@ -80,29 +87,19 @@
 
 var states = map[string]core.State{"SERVING": core.Serving, "DRAINING": core.Draining, "DELETED": core.Gone}
 
-// members reads the entries of a page. One that can't be read is skipped; a state that is not known reads as
-// draining, so that nothing new is sent.
+// members reads the entries of a page and merges them into the list.
 func (w *Watch) members(p page) (list []core.Member) {
 	if p.Full || w.entries == nil {
 		w.entries = map[string]json.RawMessage{}
 	}
 	for _, raw := range p.Servers {
-		e := entry{Weight: 1}
-		if err := json.Unmarshal(raw, &e); err != nil || e.ID == "" {
+		m, err := w.member(raw)
+		if err != nil {
 			w.Log.Warn("entry of the list not understood", "entry", string(raw), "cause", err)
 			continue
 		}
-		if w.entries[e.ID] = raw; e.State == "DELETED" {
-			delete(w.entries, e.ID)
-		}
-		m := core.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, State: core.Draining}
-		if state, known := states[e.State]; known {
-			m.State = state
-		} else {
-			w.Log.Warn("state not known; taken as draining", "node", e.ID, "state", e.State)
-		}
-		if e.Started > 0 {
-			m.Started = time.UnixMilli(int64(e.Started))
+		if w.entries[m.ID] = raw; m.State == core.Gone {
+			delete(w.entries, m.ID)
 		}
 		list = append(list, m)
 	}
@@ -110,6 +107,40 @@
 	return list
 }
 
+// errNoID reports an entry of the list that names no data node.
+var errNoID = errors.New("no id")
+
+// member reads an entry. A state that is not known reads as draining, so that nothing new is sent.
+func (w *Watch) member(raw json.RawMessage) (core.Member, error) {
+	e := entry{Weight: 1}
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return core.Member{}, err
+	}
+	if e.ID == "" {
+		return core.Member{}, errNoID
+	}
+	m := core.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, State: core.Draining}
+	if state, known := states[e.State]; known {
+		m.State = state
+	} else {
+		w.Log.Warn("state not known; taken as draining", "node", e.ID, "state", e.State)
+	}
+	if e.Started > 0 {
+		m.Started = time.UnixMilli(int64(e.Started))
+	}
+	return m, nil
+}
+
+// all is the whole list as it is held.
+func (w *Watch) all() (list []core.Member) {
+	for _, id := range slices.Sorted(maps.Keys(w.entries)) {
+		if m, err := w.member(w.entries[id]); err == nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // Remember starts from a list as it was last held.
 func (w *Watch) Remember(known []byte) {
 	var p page
@@ -122,6 +153,21 @@
 	w.Source.Replace(w.members(p), true)
 }
 
+// withhold stops the use of a remembered list that discovery has not confirmed in time: it may name data nodes whose
+// drain was told before this process began.
+func (w *Watch) withhold() {
+	if w.confirmed || !w.listed {
+		return
+	}
+	w.Log.Warn("remembered list not confirmed; nothing is sent until discovery answers", "lines", len(w.entries))
+	w.withheld = true
+	list := w.all()
+	for i := range list {
+		list[i].State = core.Draining
+	}
+	w.Source.Change(list)
+}
+
 // Move goes over to discovery at another address. It returns once Run knows of it, or ctx ends.
 func (w *Watch) Move(ctx context.Context, addr string) {
 	select {
@@ -147,10 +193,18 @@
 	var now, next *source
 	again := time.NewTimer(w.Calls.First(w.Draw()))
 	defer again.Stop()
+	var unconfirmed <-chan time.Time
+	if w.Confirm > 0 {
+		timer := time.NewTimer(w.Confirm)
+		defer timer.Stop()
+		unconfirmed = timer.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-unconfirmed:
+			w.withhold()
 		case addr := <-w.moves:
 			if addr == w.addr {
 				continue
@@ -205,12 +259,17 @@
 
 // apply takes in a page.
 func (w *Watch) apply(p page) {
-	if p.Full {
-		w.Source.Replace(w.members(p), false)
-	} else {
-		w.Source.Change(w.members(p))
+	changed := w.members(p)
+	switch {
+	case p.Full:
+		w.Source.Replace(changed, false)
+	case w.withheld:
+		w.Source.Replace(w.all(), false)
+	default:
+		w.Source.Change(changed)
 	}
 	w.version, w.listed = p.Version, true
+	w.confirmed, w.withheld = true, false
 	w.keep()
 }
 
@@ -258,31 +317,55 @@
 	if err != nil {
 		return err
 	}
-	var body io.Reader = in.R
-	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
-		body = &chunks{in: in}
+	body, err := bodyOf(in, header)
+	if err != nil {
+		return err
 	}
-	lines := bufio.NewReader(body)
-	for open := false; ; {
-		line, err := lines.ReadBytes('\n')
+	// The head alone tells nothing: the call may still wait its turn, and end.
+	opened := &onFirstByte{in: body, call: func() {
+		live.silence = membership.Quiet
+		s.tell(ctx, telling{open: true})
+	}}
+	for pages := newPageReader(opened); ; {
+		p, err := pages.next()
 		if err != nil {
 			return err
 		}
-		if !open { // the head alone tells nothing: the call may still wait its turn, and end
-			open, live.silence = true, membership.Quiet
-			s.tell(ctx, telling{open: true})
-		}
-		if len(strings.TrimSpace(string(line))) == 0 {
-			continue
-		}
-		p := new(page)
-		if err := json.Unmarshal(line, p); err != nil {
-			return fmt.Errorf("list not understood: %w", err)
-		}
 		s.tell(ctx, telling{page: p})
 	}
 }
 
+// bodyOf is the body of an answer: chunked, of a length, or up to the end of the connection.
+func bodyOf(in *textproto.Reader, header textproto.MIMEHeader) (io.Reader, error) {
+	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
+		return &chunks{in: in}, nil
+	}
+	length := header.Get("Content-Length")
+	if length == "" {
+		return in.R, nil
+	}
+	n, err := strconv.ParseUint(length, 10, 31)
+	if err != nil {
+		return nil, fmt.Errorf("Content-Length %.40q", length)
+	}
+	return io.LimitReader(in.R, int64(n)), nil
+}
+
+// onFirstByte calls a function once, when the first byte comes.
+type onFirstByte struct {
+	in   io.Reader
+	call func()
+}
+
+func (o *onFirstByte) Read(p []byte) (int, error) {
+	n, err := o.in.Read(p)
+	if n > 0 && o.call != nil {
+		o.call()
+		o.call = nil
+	}
+	return n, err
+}
+
 // lively reads a connection for as long as it goes on bringing something.
 type lively struct {
 	nc      net.Conn
--- /dev/null
+++ b/internal/platform/ending_test.go
@@ -0,0 +1,206 @@
+package platform
+
+// What is owed at the instants in which something ends, over loopback connections. Each scenario holds the instant, so that
+// the bad order comes every time; docs/design/ending.md names them beside the paths.
+
+import "testing"
+
+var endings = []struct {
+	name, nodes, script string
+}{
+	// A close over unread bytes resets the connection: the client that still sends would lose its answer.
+	{"bytes come in with the last answer", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		s1 send drain
+		c1 at-write send raw "POST /report HTTP/1.1\r\n"
+		n1 send A q1.0 ok v
+		c1 expect 200 close
+		c1 expect end
+		n1 expect -`},
+	{"bytes come in with a refusal", "n1", `
+		c1 at-write send raw "more"
+		c1 send raw "nonsense\r\n\r\n"
+		c1 expect 400 close
+		c1 expect end`},
+	// What comes in after the shutdown is not begun, and the client is not reset.
+	{"a request comes in as its idle connection is shut", "n1", `
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200
+		c1 at-shut send query q1 2000 0
+		s1 send rest
+		c1 expect end
+		n1 expect -`},
+	// What was read before is answered, whoever wants the connection closed.
+	{"a request was read in the moment its connection is to be shut", "n1", `
+		c1 send raw "GET /up HTTP/1.1\r\n\r\n"
+		c1 expect 200
+		wait 20ms
+		c1 at-read rest
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200 close
+		c1 expect end`},
+	{"a request was read in the moment its connection is to make room", "n1 most=1", `
+		c1 send raw ""
+		wait 260ms
+		c1 at-read crowd
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200`},
+	{"a request in pieces whose connection is to make room", "n1 most=1", `
+		c1 send raw "POST /report HTTP/1.1\r\n"
+		wait 1050ms
+		c1 at-read crowd
+		c1 send raw "Content-Length: 5\r\n"
+		c1 expect 408 close
+		c1 expect end`},
+	// Requests that were sent ahead are read already: each gets its answer before the connection ends.
+	{"pipelined requests as it drains", "n1", `
+		c1 send both q1 2000 q2 2000 2
+		n1 expect Q q1.0
+		s1 send drain
+		s1 send rest
+		n1 send A q1.0 ok v
+		c1 expect 200 {"complete":true,"hits":[{"shard":0,"doc":"v"}]}
+		n1 expect Q q2.2
+		n1 send A q2.2 ok w
+		c1 expect 200 close {"complete":true,"hits":[{"shard":2,"doc":"w"}]}
+		c1 expect end`},
+	// The time of a request that was sent ahead runs from when it came in, not from its turn.
+	{"a pipelined request's time", "n1", `
+		c1 send both q1 2000 q2 1900 2
+		n1 expect Q q1.0
+		wait 150ms
+		n1 send A q1.0 ok v
+		c1 expect 200
+		n1 expect Q q2.2
+		n1 send A q2.2 ok w
+		c1 expect 200`},
+	// The end of a connection is behind what was sent ahead: it must be seen all the same.
+	{"a client that leaves with a request sent ahead", "n1", `
+		c1 send both q1 2000 q2 2000 2
+		n1 expect Q q1.0
+		c1 close
+		n1 expect X q1.0
+		n1 expect -`},
+	{"a client that floods its connection", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		c1 send long
+		c1 expect 400 close
+		n1 expect X q1.0
+		n1 expect -`},
+	// A client that closed its sending side can't be told from one that left; it gets an answer and nothing is begun for it.
+	{"a half-close that waits for the answer", "n1", `
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		c1 half-close
+		n1 expect X q1.0
+		c1 expect 500 close
+		c1 expect end`},
+	{"a half-close with its request", "n1", `
+		n1 hold
+		c1 send query q1 2000 0
+		c1 half-close
+		c1 expect 500 close
+		n1 release
+		n1 expect -`},
+	// A part that waits for a connection is looked at again as its frame is written.
+	{"a client leaves while its part waits for a connection", "n1", `
+		n1 hold
+		c1 send query q1 2000 0
+		c1 close
+		n1 release
+		n1 expect -`},
+	{"the same where attempts can't be cancelled", "n1 nocancel=1", `
+		n1 hold
+		c1 send query q1 2000 0
+		c1 close
+		n1 release
+		n1 expect -`},
+	{"of a shared call one client leaves while it waits", "n1 nocancel=1", `
+		n1 hold
+		c1 send query q1 2000 0
+		c2 send query q2 2000 0
+		c1 close
+		n1 release
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c2 expect 200
+		n1 expect -`},
+	{"a drain is told while a part waits for a connection", "n1", `
+		n1 hold
+		c1 send query q1 2000 0
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send page {"version":42,"servers":[{"id":"n1","addr":"n1","cell":0,"state":"DRAINING"}]}
+		n1 release
+		n1 expect -
+		c1 expect 503 after {"error":"refused"}`},
+	{"a restart is told while a part waits for a connection", "n1 slowstart=1", `
+		n1 hold
+		c1 send query q1 300 0
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send restarted n1
+		n1 release
+		n1 expect -
+		c1 expect 503 after {"error":"refused"}`},
+	{"a connection comes up after its part was given up", "n1 n2", `
+		n1 hold
+		c1 send query q1 1000 0
+		c2 send query q2 1000 1
+		n2 expect Q q2.1
+		n2 send A q2.1 ok v
+		c2 expect 200
+		wait 1s
+		c1 expect 503 after {"error":"refused"}
+		n1 release
+		n1 expect -`},
+	// A list may be indented, and come as a body of a length.
+	{"an indented list", "n1 n2", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send indented {"version":42,"full":true,"servers":[{"id":"n2","addr":"n2","cell":1,"state":"SERVING"}]}
+		wait 10ms
+		c1 send query q1 2000 0
+		c1 expect 503 after {"error":"refused"}
+		c2 send query q2 2000 1
+		n2 expect Q q2.1
+		n2 send A q2.1 ok v
+		c2 expect 200`},
+	// An agent that is silent from a process's first moment may know of drains: the remembered list holds for a while only.
+	{"a remembered list that discovery does not confirm", "n1 confirm=200", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200
+		wait 210ms
+		c1 send query q2 2000 0
+		c1 expect 503 after {"error":"refused"}
+		n1 expect -
+		d1 send page {"version":42,"servers":[{"id":"n2","addr":"n2","cell":1,"state":"SERVING"}]}
+		wait 10ms
+		c1 send query q3 2000 0
+		n1 expect Q q3.0
+		n1 send A q3.0 ok v
+		c1 expect 200`},
+	{"a remembered list that discovery confirms", "n1 confirm=200", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send page {"version":41,"servers":[]}
+		wait 210ms
+		c1 send query q2 2000 0
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c1 expect 200`},
+}
+
+func TestEndings(t *testing.T) {
+	for _, s := range endings {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			play(t, true, s.nodes, s.script)
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/inbound.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	// maxReadAhead bounds what is read of a connection while a request of it is out: one request of the longest kind.
+	maxReadAhead = maxBody + maxHeader
+	// freeReadAhead may always be read ahead; beyond it a connection needs room in the memory for long bodies.
+	freeReadAhead = freeBody
+	readAheadStep = 2 << 10
+	// arrivalStep is how close two arrivals may lie to be kept as one, at the time of the first.
+	arrivalStep = 5 * time.Millisecond
+)
+
+// errReadAhead reports a client that has sent more ahead of its answer than is kept for it.
+var errReadAhead = errors.New("too much was sent ahead of the answer")
+
+// arrival says when the bytes of a connection up to an offset had been read.
+type arrival struct {
+	end int64
+	at  time.Time
+}
+
+// inbound is the reading side of a client's connection. While a request is out, watch reads on, so that the client's
+// leaving is seen behind whatever it has sent ahead; later reads take that first. Each byte's time of arrival is known,
+// because a request's time counts from its last byte. It is used by one goroutine at a time.
+type inbound struct {
+	conn      net.Conn
+	allowance int64 // bytes that the request in hand may still bring
+	ahead     []byte
+	consumed  int64
+	received  int64
+	arrivals  []arrival
+}
+
+// Read implements io.Reader. It ends once the allowance is used up.
+func (in *inbound) Read(p []byte) (int, error) {
+	if in.allowance <= 0 {
+		return 0, io.EOF
+	}
+	if int64(len(p)) > in.allowance {
+		p = p[:in.allowance]
+	}
+	var n int
+	var err error
+	if len(in.ahead) > 0 {
+		n = copy(p, in.ahead)
+		in.ahead = in.ahead[n:]
+		if len(in.ahead) == 0 {
+			in.ahead = nil
+		}
+	} else {
+		n, err = in.conn.Read(p)
+		in.note(n)
+	}
+	in.consumed += int64(n)
+	in.allowance -= int64(n)
+	return n, err
+}
+
+// note records that n bytes were read off the connection.
+func (in *inbound) note(n int) {
+	if n <= 0 {
+		return
+	}
+	in.received += int64(n)
+	now := time.Now()
+	if last := len(in.arrivals) - 1; last >= 0 && now.Sub(in.arrivals[last].at) < arrivalStep {
+		in.arrivals[last].end = in.received
+		return
+	}
+	in.arrivals = append(in.arrivals, arrival{in.received, now})
+}
+
+// arrived returns when the last byte of what was consumed, but for the unread ones that a buffer above still holds, had
+// come in. Earlier arrivals are forgotten.
+func (in *inbound) arrived(unread int) time.Time {
+	end := in.consumed - int64(unread)
+	for len(in.arrivals) > 1 && in.arrivals[0].end < end {
+		in.arrivals = in.arrivals[1:]
+	}
+	if len(in.arrivals) == 0 {
+		return time.Now()
+	}
+	return in.arrivals[0].at
+}
+
+// watch reads ahead until the connection ends, its read deadline passes, or more has come than may be kept; reserve
+// books the memory beyond what is free.
+func (in *inbound) watch(reserve func() bool) error {
+	reserved := false
+	step := make([]byte, readAheadStep)
+	for {
+		n, err := in.conn.Read(step)
+		in.note(n)
+		in.ahead = append(in.ahead, step[:n]...)
+		if err != nil {
+			return err
+		}
+		if len(in.ahead) > freeReadAhead && !reserved {
+			reserved = reserve()
+			if !reserved {
+				return errReadAhead
+			}
+		}
+		if len(in.ahead) > maxReadAhead {
+			return errReadAhead
+		}
+	}
+}
--- a/internal/platform/keyed_test.go
+++ b/internal/platform/keyed_test.go
@@ -50,7 +50,7 @@
 					}
 					ours, theirs := net.Pipe()
 					a := &actor{name: "n", msgs: make(chan string, 9)}
-					go a.read(theirs)
+					go new(world).read(a, theirs)
 					go func() {
 						for msg := range a.msgs {
 							if msg == "end" {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -34,6 +34,9 @@
 	maxLine  = 1 << 10         // and the longest line in it
 	// frameTime is how long a frame may take from its first byte to its last. Data nodes write frames whole.
 	frameTime = 100 * time.Millisecond
+	// writeFrameTime is how long a frame may take to be written: what it tells of the time left holds when it is begun, and
+	// may be too much by 150 ms at its end.
+	writeFrameTime = 140 * time.Millisecond
 	// staleTime is how long after its deadline an answer may come to a part that was given up.
 	staleTime = 10 * time.Second
 	// spareTime is how long a data node's second connection is kept idle, and any further.
@@ -491,7 +494,7 @@
 		if data == nil {
 			continue
 		}
-		nc.SetWriteDeadline(time.Now().Add(c.l.Connect))
+		nc.SetWriteDeadline(time.Now().Add(min(c.l.Connect, writeFrameTime)))
 		_, err := nc.Write(data)
 		c.l.mu.Lock()
 		c.used = time.Now()
@@ -539,8 +542,8 @@
 	}
 }
 
-// encode makes the bytes of a frame and marks what it carries as begun. Calls to a data node that the list
-// bars by now, and parts whose time to begin or to be answered is over, are turned back unsent. The caller holds the lock.
+// encode makes the bytes of a frame and marks what it carries as begun. Parts that may no longer be sent are turned back.
+// The caller holds the lock.
 func (c *conn) encode(f frame) []byte {
 	now := time.Now()
 	body := []byte{0, 0, 0, 0}
@@ -564,13 +567,14 @@
 			switch {
 			case c.out[s.ID] != s:
 				continue
-			case c.l.node.Barred(), s.Late(now):
-				delete(c.out, s.ID)
-				c.l.Core.Report(s.Attempt, core.Result{Outcome: core.Busy})
-				continue
 			case left < 1:
 				continue // the core is about to drop it
 			}
+			if outcome, ok := s.Sendable(now); !ok {
+				delete(c.out, s.ID)
+				c.l.Core.Report(s.Attempt, core.Result{Outcome: outcome})
+				continue
+			}
 			s.at = now
 			body = fmt.Appendf(body, "%s %d d=%d", s.ID, s.Shard, left)
 			if s.IdempotencyKey != "" {
--- /dev/null
+++ b/internal/platform/response.go
@@ -0,0 +1,76 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+	"unicode/utf8"
+
+	"gullfall/internal/core"
+)
+
+// response is one final answer as it goes to a client.
+type response struct {
+	status int
+	header []byte // further lines of the head
+	body   []byte
+	end    time.Time // until when it may be written
+}
+
+// errorResponse tells a client what is wrong.
+func errorResponse(status int, text string) response {
+	return response{status: status, body: errorBody(text), end: time.Now().Add(writeTime)}
+}
+
+// encode makes the bytes of a response; last announces that the connection ends with it.
+func (r response) encode(last bool) []byte {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n", r.status,
+		reasons[r.status], len(r.body))
+	out.Write(r.header)
+	if last {
+		out.WriteString("Connection: close\r\n")
+	}
+	out.WriteString("\r\n")
+	out.Write(r.body)
+	return out.Bytes()
+}
+
+// answerBody is an answer as clients get it. A document that is no text could only be passed on changed.
+func answerBody(a core.Answer) ([]byte, error) {
+	type hit struct {
+		Shard int    `json:"shard"`
+		Doc   string `json:"doc"`
+	}
+	body := struct {
+		Complete bool  `json:"complete"`
+		Hits     []hit `json:"hits"`
+	}{a.Whole, []hit{}}
+	for _, h := range a.Hits {
+		for _, doc := range h.Docs {
+			if !utf8.Valid(doc) {
+				return nil, fmt.Errorf("document of shard %d is no text", h.Shard)
+			}
+			body.Hits = append(body.Hits, hit{h.Shard, string(doc)})
+		}
+	}
+	return json.Marshal(body)
+}
+
+func errorBody(text string) []byte {
+	data, _ := json.Marshal(map[string]string{"error": text})
+	return data
+}
+
+// retryAfter is the header that tells when to come back, if anything may be told.
+func retryAfter(d time.Duration) []byte {
+	if d <= 0 {
+		return nil
+	}
+	return fmt.Appendf(nil, "Retry-After: %.3f\r\n", d.Seconds())
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+	503: "Service Unavailable"}
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -8,9 +8,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +21,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -497,26 +500,111 @@
 	nc     net.Conn
 	msgs   chan string
 	headed net.Conn
+
+	mu    sync.Mutex
+	hooks map[string]func() // by instant, each once
+	gate  chan struct{}     // connections come up once it is closed; nil where they do at once
 }
 
 type world struct {
 	t       *testing.T
-	mu      sync.Mutex // guards actors
+	real    bool       // over loopback connections in real time, not pipes in virtual time
+	mu      sync.Mutex // guards actors and ends
 	actors  map[string]*actor
+	ends    map[string]time.Time // by the query's id, when its client's time is over
+	set     aggregator.Settings
 	clients *Clients
 	watch   *Watch
 	ended   context.Context
 }
 
+// settle lets all that can happen now happen.
+func (w *world) settle() {
+	if w.real {
+		time.Sleep(3 * time.Millisecond)
+		return
+	}
+	synctest.Wait()
+}
+
+// pair is one connection, as its two ends see it.
+func (w *world) pair() (ours, theirs net.Conn) {
+	if !w.real {
+		return net.Pipe()
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer ln.Close()
+	if ours, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		w.t.Fatal(err)
+	}
+	if theirs, err = ln.Accept(); err != nil {
+		w.t.Fatal(err)
+	}
+	return ours, theirs
+}
+
+// hookedConn is the program's end of a client's connection.
+type hookedConn struct {
+	net.Conn
+	client *actor
+}
+
+func (h *hookedConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 {
+		h.client.fire("at-read")
+	}
+	return n, err
+}
+
+func (h *hookedConn) Write(p []byte) (int, error) {
+	n, err := h.Conn.Write(p)
+	h.client.fire("at-write")
+	return n, err
+}
+
+func (h *hookedConn) CloseWrite() error {
+	half, ok := h.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	h.client.fire("at-shut")
+	return half.CloseWrite()
+}
+
+// fire runs what is to happen at an instant.
+func (a *actor) fire(instant string) {
+	a.mu.Lock()
+	f := a.hooks[instant]
+	delete(a.hooks, instant)
+	a.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// at notes what is to happen at an instant.
+func (a *actor) at(instant string, f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hooks == nil {
+		a.hooks = map[string]func(){}
+	}
+	a.hooks[instant] = f
+}
+
 func TestScenarios(t *testing.T) {
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { play(t, s.nodes, s.script) })
+			synctest.Test(t, func(t *testing.T) { play(t, false, s.nodes, s.script) })
 		})
 	}
 }
 
-func play(t *testing.T, nodes, script string) {
+func play(t *testing.T, real bool, nodes, script string) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 2, Shards: 4, Reach: 1,
 		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1,
@@ -527,13 +615,19 @@
 			MaxRetryAfter: time.Second, ConnectTimeout: 250 * time.Millisecond, ConnIdle: 30 * time.Second},
 		Rules: aggregator.Rules{DrainGrace: 2 * time.Second},
 	}
+	if strings.Contains(nodes, "nocancel=1") {
+		set.Limits.Cancel = false
+	}
+	if strings.Contains(nodes, "slowstart=1") { // a data node that has just started may be sent next to nothing
+		set.Rules.FallMultiple, set.Rules.FallWindow, set.Rules.ColdShare, set.Rules.WarmAfter = 2, time.Second, 0.001, time.Minute
+	}
 	c, err := core.New(set, 7, log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(t.Context())
-	w := &world{t: t, actors: map[string]*actor{}, ended: ctx,
-		clients: &Clients{Core: c, Log: log, Most: 9, Hold: 2 * maxBody, Again: time.Second}}
+	w := &world{t: t, real: real, actors: map[string]*actor{}, ends: map[string]time.Time{}, set: set, ended: ctx,
+		clients: &Clients{Core: c, Log: log, MaxConns: 9, BodyMemory: 2 * maxBody, RetryAfter: time.Second}}
 	go c.Run(ctx)
 	carrier := &Nodes{Core: c, Log: log, Dial: w.dial, Streams: 32, Connect: set.Limits.ConnectTimeout,
 		Idle: set.Limits.ConnIdle, Slots: make(chan struct{}, 9)}
@@ -541,15 +635,19 @@
 	watch := NewWatch("d1")
 	watch.Source, watch.Log, watch.Dial, w.watch = c.Source(membership.Spec{Name: "discovery"}), log, w.dial, watch
 	var list []string
+	confirm := 0
 	for _, id := range strings.Fields(nodes) {
 		if key, n, ok := strings.Cut(id, "="); ok {
-			*map[string]*int{"streams": &carrier.Streams, "busy": &w.clients.Busy}[key], _ = strconv.Atoi(n)
+			if to := (map[string]*int{"streams": &carrier.Streams, "busy": &w.clients.BusyConns, "most": &w.clients.MaxConns, "confirm": &confirm})[key]; to != nil {
+				*to, _ = strconv.Atoi(n)
+			}
 			continue
 		}
 		w.actor(id)
 		list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"cell":%d,"state":"SERVING"}`, id, id, (id[1]+1)%2))
 	}
 	w.actor("d1")
+	watch.Confirm = time.Duration(confirm) * time.Millisecond
 	watch.Remember(fmt.Appendf(nil, `{"version":41,"servers":[%s]}`, strings.Join(list, ",")))
 	watching := make(chan bool)
 	watched, unwatch := context.WithCancel(ctx)
@@ -557,7 +655,7 @@
 
 	for i, line := range strings.Split(strings.TrimSpace(script), "\n") {
 		words := strings.SplitN(strings.TrimSpace(line), " ", 3)
-		synctest.Wait()
+		w.settle()
 		if words[0] == "wait" {
 			d, err := time.ParseDuration(words[1])
 			if err != nil {
@@ -584,6 +682,18 @@
 			a.nc = nil
 			for <-a.msgs != "end" { // what its own reader saw of it
 			}
+		case "half-close":
+			if err := a.nc.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+		case "hold":
+			a.mu.Lock()
+			a.gate = make(chan struct{})
+			a.mu.Unlock()
+		case "release":
+			close(a.gate)
+		case "at-read", "at-write", "at-shut":
+			a.at(words[1], func() { w.instant(a, words[2]) })
 		default:
 			t.Fatalf("line %d: verb %q", i+1, words[1])
 		}
@@ -597,14 +707,16 @@
 	}
 	<-watching
 	watch.Source.Replace(nil, false)
-	time.Sleep(10 * time.Second)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && !(real && w.givenBack(c, carrier)); {
+		time.Sleep(20 * time.Millisecond)
+	}
 	for _, a := range w.actors {
-		for a.accept(); a.nc != nil; a.accept() {
+		for w.accept(a); a.nc != nil; w.accept(a) {
 			a.nc.Close()
 			a.nc = nil
 		}
 	}
-	synctest.Wait()
+	w.settle()
 	if len(carrier.Slots) > 0 {
 		t.Errorf("%d connections were not given back", len(carrier.Slots))
 	}
@@ -617,6 +729,29 @@
 	stop()
 }
 
+// givenBack tells whether nothing is held any more.
+func (w *world) givenBack(c *core.Core, carrier *Nodes) bool {
+	w.clients.mu.Lock()
+	defer w.clients.mu.Unlock()
+	return len(carrier.Slots)+len(w.clients.conns)+c.Open() == 0
+}
+
+// instant does what happens at a held instant.
+func (w *world) instant(a *actor, what string) {
+	switch what {
+	case "rest":
+		w.clients.CloseIdle()
+	case "crowd": // a new connection needs the place
+		ours, theirs := w.pair()
+		go w.clients.ServeConn(theirs)
+		w.t.Cleanup(func() { ours.Close() })
+		time.Sleep(50 * time.Millisecond)
+	default:
+		w.send(a, strings.TrimPrefix(what, "send "))
+		time.Sleep(20 * time.Millisecond) // it has come in
+	}
+}
+
 func (w *world) actor(name string) *actor {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -632,18 +767,29 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	ours, theirs := net.Pipe()
-	w.actor(addr).dials <- theirs
+	a := w.actor(addr)
+	a.mu.Lock()
+	gate := a.gate
+	a.mu.Unlock()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	ours, theirs := w.pair()
+	a.dials <- theirs
 	return ours, nil
 }
 
 // accept takes the next connection that the program opened, if there is one and none is in hand.
-func (a *actor) accept() {
+func (w *world) accept(a *actor) {
 	if a.nc == nil {
 		select {
 		case a.nc = <-a.dials:
 			if a.name[0] != 'm' {
-				go a.read(a.nc)
+				go w.read(a, a.nc)
 			}
 		default:
 		}
@@ -652,10 +798,13 @@
 
 // next is the next message of an actor, "-" for none.
 func (w *world) next(a *actor, none bool) string {
+	if none && w.real {
+		time.Sleep(50 * time.Millisecond)
+	}
 	for end := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
-		synctest.Wait()
-		a.accept()
-		synctest.Wait()
+		w.settle()
+		w.accept(a)
+		w.settle()
 		select {
 		case msg := <-a.msgs:
 			if msg == "end" && a.nc != nil {
@@ -672,22 +821,28 @@
 }
 
 // read turns what comes into messages.
-func (a *actor) read(nc net.Conn) {
+func (w *world) read(a *actor, nc net.Conn) {
 	in := textproto.NewReader(bufio.NewReader(nc))
 	for {
 		var msg string
 		var err error
 		switch a.name[0] {
 		case 'c':
-			msg, err = response(in)
+			msg, err = readResponse(in)
 		case 'n':
-			msg, err = frameText(in.R)
+			var left map[string]time.Duration
+			msg, left, err = frameTimes(in.R)
+			w.checkTimes(left)
 		case 'd':
 			if msg, err = in.ReadLine(); err == nil {
 				msg = strings.TrimSuffix(msg, " HTTP/1.1")
 				_, err = in.ReadMIMEHeader()
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			a.msgs <- "reset"
+			return
+		}
 		if err != nil {
 			a.msgs <- "end"
 			return
@@ -696,7 +851,23 @@
 	}
 }
 
-func response(in *textproto.Reader) (string, error) {
+// checkTimes compares what parts tell of the time that is left with what their clients have left.
+func (w *world) checkTimes(left map[string]time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, told := range left {
+		query, _, _ := strings.Cut(id, ".")
+		end, known := w.ends[query]
+		if !known {
+			continue
+		}
+		if most := time.Until(end) + 20*time.Millisecond; told > most {
+			w.t.Errorf("part %s tells of %v that are left; its client waits for %v", id, told, most)
+		}
+	}
+}
+
+func readResponse(in *textproto.Reader) (string, error) {
 	line, err := in.ReadLine()
 	if err != nil {
 		return "", err
@@ -719,14 +890,21 @@
 }
 
 func frameText(in *bufio.Reader) (string, error) {
+	text, _, err := frameTimes(in)
+	return text, err
+}
+
+// frameTimes reads a frame, and the time that each part of it tells.
+func frameTimes(in *bufio.Reader) (string, map[string]time.Duration, error) {
 	var size uint32
 	if err := binary.Read(in, binary.LittleEndian, &size); err != nil {
-		return "", err
+		return "", nil, err
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(in, body); err != nil {
-		return "", err
+		return "", nil, err
 	}
+	left := map[string]time.Duration{}
 	text, rest := string(body[0]), string(body[1:])
 	if text == "Q" {
 		var ids []string
@@ -735,8 +913,14 @@
 			words := strings.Fields(line)
 			n, _ := strconv.Atoi(words[3])
 			if after[:n] != "text" {
-				return "", fmt.Errorf("text %q", after[:n])
+				return "", nil, fmt.Errorf("text %q", after[:n])
+			}
+			told, _, _ := strings.Cut(strings.TrimPrefix(words[2], "d="), ",")
+			ms, err := strconv.Atoi(told)
+			if err != nil {
+				return "", nil, fmt.Errorf("time %q", words[2])
 			}
+			left[words[0]] = time.Duration(ms) * time.Millisecond
 			if _, key, keyed := strings.Cut(words[2], ",k="); keyed {
 				words[0] += "(k=" + key + ")"
 			}
@@ -744,21 +928,21 @@
 		}
 		rest = strings.Join(ids, ",")
 	}
-	return strings.TrimSpace(text + " " + rest), nil
+	return strings.TrimSpace(text + " " + rest), left, nil
 }
 
 func (w *world) send(a *actor, text string) {
 	if a.name[0] == 'c' && a.nc == nil {
-		ours, theirs := net.Pipe()
+		ours, theirs := w.pair()
 		a.nc = ours
-		go w.clients.ServeConn(theirs)
-		go a.read(a.nc)
+		go w.clients.ServeConn(&hookedConn{theirs, a})
+		go w.read(a, a.nc)
 	}
 	words := strings.SplitN(text, " ", 4)
 	var data string
 	switch {
 	case text == "drain":
-		w.clients.Drain()
+		w.clients.Drain(time.Now().Add(time.Minute))
 		return
 	case words[0] == "move":
 		w.watch.Move(w.ended, words[1])
@@ -776,20 +960,10 @@
 		data = "POST /report HTTP/1.1\r\nContent-Length: " + words[1] + "\r\n\r\n" + strings.Repeat("x", n)
 	case text == "long":
 		data = "GET /up HTTP/1.1\r\nX: " + strings.Repeat("x", 200_000) + "\r\n\r\n"
+	case words[0] == "both": // two queries in one write
+		data = w.queryText(strings.SplitN(words[1]+" "+words[2]+" 0", " ", 3), "report") + w.queryText(strings.SplitN(words[3], " ", 3), "report")
 	case words[0] == "query", words[0] == "entry":
-		class, key := "report", ""
-		if words[0] == "entry" {
-			class = "entry"
-			words[3], key, _ = strings.Cut(words[3], " ")
-			key = "Idempotency-Key: " + key + "\r\n"
-		}
-		var parts []string
-		for _, shard := range strings.Split(words[3], ",") {
-			parts = append(parts, fmt.Sprintf(`{"shard":%s,"weight":%g}`, shard, 1/float64(1+strings.Count(words[3], ","))))
-		}
-		body := `{"shards":[` + strings.Join(parts, ",") + `],"q":"text"}`
-		data = fmt.Sprintf("POST /%s HTTP/1.1\r\nReq-Id: %s\r\nReq-Owner: club\r\nReq-Deadline-Ms: %s\r\n%s"+
-			"Content-Length: %d\r\n\r\n%s", class, words[1], words[2], key, len(body), body)
+		data = w.queryText(words[1:], words[0])
 	case words[0] == "A":
 		value := ""
 		if len(words) > 3 {
@@ -798,10 +972,20 @@
 		data = frameOf(fmt.Sprintf("A%s %s 1 util=0.5,odd=x\n%s", words[1], words[2], value))
 	case words[0] == "L":
 		data = frameOf("L" + strings.TrimPrefix(text, "L "))
-	case words[0] == "page", words[0] == "line":
+	case words[0] == "page", words[0] == "line", words[0] == "indented", words[0] == "restarted":
 		line := strings.TrimSpace(strings.TrimPrefix(text, words[0])) + "\n"
-		if words[0] == "line" {
+		switch words[0] {
+		case "line":
 			line = "\n"
+		case "indented":
+			var out bytes.Buffer
+			if err := json.Indent(&out, []byte(line), "", "  "); err != nil {
+				w.t.Fatal(err)
+			}
+			line = out.String()
+		case "restarted":
+			line = fmt.Sprintf(`{"version":42,"servers":[{"id":%q,"addr":%[1]q,"cell":0,"state":"SERVING","started_ms":%d}]}`+"\n",
+				words[1], time.Now().UnixMilli())
 		}
 		if a.headed != a.nc { // the head of the watch's answer, once a connection
 			a.headed = a.nc
@@ -815,7 +999,29 @@
 		return
 	}
 	go func() { io.WriteString(nc, data) }() // a pipe takes what is read only
-	synctest.Wait()
+	w.settle()
+}
+
+// queryText is a query: its id, its time in ms, its shards and maybe its key.
+func (w *world) queryText(words []string, kind string) string {
+	class, key, shards := "report", "", words[2]
+	if kind == "entry" {
+		class = "entry"
+		shards, key, _ = strings.Cut(shards, " ")
+		key = "Idempotency-Key: " + key + "\r\n"
+	}
+	var parts []string
+	for _, shard := range strings.Split(shards, ",") {
+		parts = append(parts, fmt.Sprintf(`{"shard":%s,"weight":%g}`, shard, 1/float64(1+strings.Count(shards, ","))))
+	}
+	body := `{"shards":[` + strings.Join(parts, ",") + `],"q":"text"}`
+	if ms, err := strconv.Atoi(words[1]); err == nil {
+		w.mu.Lock()
+		w.ends[words[0]] = time.Now().Add(time.Duration(ms) * time.Millisecond)
+		w.mu.Unlock()
+	}
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nReq-Id: %s\r\nReq-Owner: club\r\nReq-Deadline-Ms: %s\r\n%s"+
+		"Content-Length: %d\r\n\r\n%s", class, words[0], words[1], key, len(body), body)
 }
 
 func frameOf(body string) string {
@@ -862,7 +1068,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	clients := &Clients{Log: slog.New(slog.DiscardHandler), Most: 9, Hold: 1 << 20}
+	clients := &Clients{Log: slog.New(slog.DiscardHandler), MaxConns: 9, BodyMemory: 1 << 20}
 	go clients.Serve(ln)
 	for range 20 {
 		nc, err := net.Dial("tcp", ln.Addr().String())
