--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -516,6 +516,8 @@
 	clients *Clients
 	watch   *Watch
 	ended   context.Context
+	crowd   []net.Conn     // of clients that only take a place; guarded by mu
+	serving sync.WaitGroup // of those
 }
 
 // settle lets all that can happen now happen.
@@ -705,6 +707,12 @@
 			a.nc.Close()
 		}
 	}
+	w.mu.Lock()
+	for _, nc := range w.crowd {
+		nc.Close()
+	}
+	w.mu.Unlock()
+	w.serving.Wait()
 	<-watching
 	watch.Source.Replace(nil, false)
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && !(real && w.givenBack(c, carrier)); {
@@ -743,8 +751,10 @@
 		w.clients.CloseIdle()
 	case "crowd": // a new connection needs the place
 		ours, theirs := w.pair()
-		go w.clients.ServeConn(theirs)
-		w.t.Cleanup(func() { ours.Close() })
+		w.mu.Lock()
+		w.crowd = append(w.crowd, ours)
+		w.mu.Unlock()
+		w.serving.Go(func() { w.clients.ServeConn(theirs) })
 		time.Sleep(50 * time.Millisecond)
 	default:
 		w.send(a, strings.TrimPrefix(what, "send "))
