A connection that comes up late is kept, and is no sign that its data node started anew

ConnectTimeout is an outcome of its own: it costs a strike and never ran, but is no restart. The connection goes on coming up for eight times its time, one for each data node, and serves the parts that come next.

rules_test.go: its random outcomes now include one that never ran, so what may have run is counted without it.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -115,10 +115,11 @@
 	TimedOut
 	Reset
 	Cancelled
-	Full          // never ran
-	ConnectFailed // never ran
-	Moot          // never sent
-	Cut           // its connection was lost or of no more use, but the replica lives; all parts out on it end alike
+	Full           // never ran
+	ConnectFailed  // never ran
+	Moot           // never sent
+	Cut            // its connection was lost or of no more use, but the replica lives; all parts out on it end alike
+	ConnectTimeout // never ran: its connection did not come up in time, which a live replica's may do too
 )
 
 // EventKind names what happened.
--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -270,6 +270,9 @@
 	return unlearned * a.set.Classes[q.class].Aim.Seconds()
 }
 
+// neverRan are the outcomes of attempts that their replica has not begun.
+var neverRan = map[Outcome]bool{Full: true, ConnectFailed: true, ConnectTimeout: true, Moot: true}
+
 // outcome takes in the end of an attempt. Anything not known to have kept the part from running counts as
 // may-have-run; outcomes of unknown or ended attempts are skipped.
 func (a *Aggregator) outcome(e *Event) {
@@ -286,7 +289,7 @@
 	switch e.Outcome {
 	case OK:
 		a.answered(t, took)
-	case Errored, Reset, Unknown, ConnectFailed:
+	case Errored, Reset, Unknown, ConnectFailed, ConnectTimeout:
 		a.release(t)
 		if e.Outcome == Reset && p.q.wrecks == 0 && a.idled(t) && took < a.usual(p.q)/2 {
 			// The connection was dead, neither the replica nor its query to blame: no strike, no cold start.
@@ -295,9 +298,12 @@
 			break
 		}
 		if e.Outcome != Errored {
-			r.doubted, a.broke = a.now, a.now
+			r.doubted = a.now
 			a.warn(1)
 		}
+		if e.Outcome != Errored && e.Outcome != ConnectTimeout {
+			a.broke = a.now
+		}
 		if e.Outcome == Reset {
 			if p.q.wrecks++; p.q.jolted {
 				p.q.wrecks = wreckLimit // on a new connection too
@@ -306,7 +312,8 @@
 		r.leaky = e.Outcome == Errored
 		a.strike(r)
 		if e.Outcome == Reset || e.Outcome == ConnectFailed && r.strikes >= strikeOut {
-			// A process that drops connections may have restarted before the list says so.
+			// A process that drops or refuses connections may have restarted before the list says so; one whose
+			// connections come up late has not.
 			r.cold, r.born = true, a.now
 		}
 	case Cut:
@@ -325,7 +332,7 @@
 	case Moot:
 		a.release(t)
 	}
-	if e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Moot && !p.mayRun {
+	if !neverRan[e.Outcome] && !p.mayRun {
 		p.mayRun, p.firstRun = true, t.at
 	}
 	if e.Outcome != Cancelled {
--- a/aggregator/rules_test.go
+++ b/aggregator/rules_test.go
@@ -371,7 +371,7 @@
 			if events = append(events, ended(out[k].part, out[k].n, o)); !told[out[k]] {
 				told[out[k]] = true
 				flying[out[k].part]--
-				ran[out[k].part] = ran[out[k].part] || o != Full && o != ConnectFailed && o != Moot
+				ran[out[k].part] = ran[out[k].part] || o != Full && o != ConnectFailed && o != ConnectTimeout && o != Moot
 			}
 			if rng.IntN(10) > 0 { // else it is told twice
 				out = append(out[:k], out[k+1:]...)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,14 +79,15 @@
 
 // The outcomes that a carrier reports.
 const (
-	Served       Outcome = iota + 1
-	Errored              // it may have run
-	Busy                 // turned away unseen
-	NotConnected         // never written whole
-	Reset                // the connection ended after it was written
-	Dropped              // given up as ordered
-	NotSent              // never sent, and no fault of the data node: nothing was left to send it with
-	Cut                  // its connection was lost or is of no more use, but the data node is there
+	Served         Outcome = iota + 1
+	Errored                // it may have run
+	Busy                   // turned away unseen
+	NotConnected           // never written whole
+	Reset                  // the connection ended after it was written
+	Dropped                // given up as ordered
+	NotSent                // never sent, and no fault of the data node: nothing was left to send it with
+	Cut                    // its connection was lost or is of no more use, but the data node is there
+	ConnectTimeout         // never written whole: its connection did not come up in time
 )
 
 // Result goes with a Report.
@@ -395,7 +396,7 @@
 var outcomes = map[Outcome]aggregator.Outcome{
 	Served: aggregator.OK, Errored: aggregator.Errored, Busy: aggregator.Full,
 	NotConnected: aggregator.ConnectFailed, Reset: aggregator.Reset, Dropped: aggregator.TimedOut,
-	NotSent: aggregator.Moot, Cut: aggregator.Cut,
+	NotSent: aggregator.Moot, Cut: aggregator.Cut, ConnectTimeout: aggregator.ConnectTimeout,
 }
 
 // settleTime is how long what tells a data node of the end of an attempt may be on its way, or lie unread there.
@@ -773,7 +774,7 @@
 }
 
 var words = map[Outcome]string{Served: "ok", Errored: "err", Busy: "busy", NotConnected: "not connected",
-	Reset: "reset", Dropped: "given up", NotSent: "not sent", Cut: "cut"}
+	Reset: "reset", Dropped: "given up", NotSent: "not sent", Cut: "cut", ConnectTimeout: "connect timeout"}
 
 // causes are why the module gives a query up, in a word.
 var causes = map[aggregator.Why]string{aggregator.NoHolder: "no holder", aggregator.Held: "held", aggregator.Forecast: "forecast",
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -294,7 +294,7 @@
 }
 
 var evidence = map[Outcome]membership.Evidence{Served: membership.Answered, Errored: membership.Answered,
-	Busy: membership.Turned, NotConnected: membership.Refused, Reset: membership.Lost, Cut: membership.Reopened}
+	Busy: membership.Turned, NotConnected: membership.Refused, ConnectTimeout: membership.Refused, Reset: membership.Lost, Cut: membership.Reopened}
 
 // saw passes on what the end of an attempt or a probe says of a data node; not of one that has since moved or gone.
 func (c *Core) saw(n *Node, end Outcome) {
--- a/internal/core/sight.go
+++ b/internal/core/sight.go
@@ -32,7 +32,7 @@
 		if end == Served && a != nil {
 			s.Latency = now.Sub(a.begun)
 		}
-	case NotConnected, Reset:
+	case NotConnected, ConnectTimeout, Reset:
 		s.Failed = true
 	default:
 		return
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -190,7 +190,7 @@
 	switch end {
 	case Served, Errored, Busy, Cut:
 		s.bad = 0
-	case NotConnected, Reset:
+	case NotConnected, ConnectTimeout, Reset:
 		s.bad, s.last = s.bad+1, now
 	}
 }
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -96,7 +96,7 @@
 	return nil
 }
 
-var zoneEvidence = map[Outcome]zones.Evidence{Served: zones.Good, Errored: zones.Good, NotConnected: zones.Refused,
+var zoneEvidence = map[Outcome]zones.Evidence{Served: zones.Good, Errored: zones.Good, NotConnected: zones.Refused, ConnectTimeout: zones.Refused,
 	Reset: zones.Refused}
 
 // zoneSaw passes on what the end of an attempt or a probe says of a data node's zone. An attempt given up because its
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -181,6 +181,7 @@
 
 var (
 	errSlots = errors.New("no descriptor left for a connection")
+	errLate  = errors.New("the channel did not come up in time")
 	errPause = errors.New("the last connections failed; none is opened for a moment")
 )
 
@@ -262,6 +263,9 @@
 			}
 			p.release(ch, 1)
 			p.mu.Unlock()
+			if state == connectivity.Connecting {
+				return nil, errLate
+			}
 			return nil, fmt.Errorf("channel is %v", state)
 		}
 	}
@@ -330,6 +334,9 @@
 
 // unsent is the outcome of a part for which there is no channel.
 func unsent(err error) core.Outcome {
+	if errors.Is(err, errLate) {
+		return core.ConnectTimeout
+	}
 	if errors.Is(err, errSlots) {
 		return core.NotSent
 	}
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -158,6 +158,22 @@
 		c1 expect 503 after {"error":"refused"}
 		n1 release
 		n1 expect -`},
+	// A connection that comes up late is kept for the parts that come next: none is opened anew while n1 is held again.
+	{"a connection that comes up late serves the next part", "n1", `
+		n1 hold
+		c1 send query q1 700 0
+		wait 700ms
+		c1 expect 503 after {"error":"refused"}
+		n1 release
+		wait 50ms
+		n1 hold
+		c2 send query q2 2000 0
+		n1 expect L
+		n1 send L util=0.5
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c2 expect 200
+		n1 release`},
 	// A list may be indented, and come as a body of a length.
 	{"an indented list", "n1 n2", `
 		d1 expect GET /discovery/hosts?watch=1&after=41
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -39,6 +39,9 @@
 	writeFrameTime = 140 * time.Millisecond
 	// staleTime is how long after its deadline an answer may come to a part that was given up.
 	staleTime = 10 * time.Second
+	// A connection that does not come up within the settings' time goes on for lateTimes that, for the parts that come
+	// next; those that waited for it are told at once.
+	lateTimes = 8
 	// spareTime is how long a data node's second connection is kept idle, and any further.
 	spareTime = 2 * time.Second
 )
@@ -83,12 +86,14 @@
 	last   string   // the part answered last
 	slot   bool     // it has a descriptor
 	closed bool
-	wrote  bool      // a frame went out on it since it was opened last
-	midway bool      // a frame has begun to come in
-	spoilt bool      // ended for what came in on it
-	silent bool      // an attempt was given up on it and nothing was heard since that was sent
-	heard  time.Time // last frame
-	used   time.Time // last frame either way
+	late   bool               // it has not come up in time: nothing waits for it any more
+	cancel context.CancelFunc // ends the attempt to open it; nil while there is none
+	wrote  bool               // a frame went out on it since it was opened last
+	midway bool               // a frame has begun to come in
+	spoilt bool               // ended for what came in on it
+	silent bool               // an attempt was given up on it and nothing was heard since that was sent
+	heard  time.Time          // last frame
+	used   time.Time          // last frame either way
 }
 
 // sent is an attempt that is queued or out on a connection.
@@ -154,7 +159,7 @@
 	for l := range ns.links {
 		l.mu.Lock()
 		for _, c := range l.conns {
-			if c.nc != nil && c.spare() && (oldest == nil || c.used.Before(used)) {
+			if (c.nc != nil || c.late) && c.spare() && (oldest == nil || c.used.Before(used)) {
 				oldest, used = c, c.used
 			}
 		}
@@ -177,7 +182,7 @@
 	now := time.Now()
 next:
 	for _, c := range l.conns {
-		if c.closed || c.silent || c.midway || len(c.out)+len(call) > max(l.Streams-1, len(call)) || c.idle(now) {
+		if c.closed || c.late || c.silent || c.midway || len(c.out)+len(call) > max(l.Streams-1, len(call)) || c.idle(now) {
 			continue
 		}
 		for _, a := range call {
@@ -308,6 +313,9 @@
 	if c.nc != nil {
 		c.nc.Close()
 	}
+	if c.cancel != nil {
+		c.cancel()
+	}
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -371,8 +379,13 @@
 
 // open opens the connection; a first one that was reset is no sign yet.
 func (c *conn) open() (net.Conn, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(c.l.Connect))
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(lateTimes*c.l.Connect))
 	defer cancel()
+	c.l.mu.Lock()
+	c.cancel = cancel
+	c.l.mu.Unlock()
+	overdue := time.AfterFunc(c.l.Connect, c.overdue)
+	defer overdue.Stop()
 	nc, err := c.l.Dial(ctx, c.l.node.Addr())
 	if errors.Is(err, syscall.ECONNRESET) {
 		nc, err = c.l.Dial(ctx, c.l.node.Addr())
@@ -381,12 +394,46 @@
 	held := len(c.l.conns)
 	if err == nil {
 		c.nc = nc
+		c.used = time.Now()
 	}
+	c.cancel, c.late = nil, false
 	c.l.mu.Unlock()
 	c.l.Log.Debug("connection opened", "node", c.l.node.ID(), "held", held, "cause", err)
 	return nc, err
 }
 
+// overdue turns back what has waited for the connection for as long as one may take to come up. It goes on coming up, but
+// for a second one of the same data node: those it would take are spent on no more than one.
+func (c *conn) overdue() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	if c.cancel == nil {
+		return
+	}
+	for id, s := range c.out {
+		delete(c.out, id)
+		outcome := core.ConnectTimeout
+		if !s.at.IsZero() {
+			outcome = core.Reset
+		}
+		c.report(s, outcome)
+	}
+	for _, f := range c.queue {
+		if f.probe != nil {
+			c.end(f.probe, core.Result{Outcome: core.ConnectTimeout})
+		}
+	}
+	for _, p := range c.probes {
+		c.end(p, core.Result{Outcome: core.Reset})
+	}
+	c.queue, c.probes = nil, nil
+	if slices.ContainsFunc(c.l.conns, func(o *conn) bool { return o.late && !o.closed }) {
+		c.shut()
+		return
+	}
+	c.late = true
+}
+
 // again tells whether a connection that ended is to be opened anew: it carried parts, and the data node took in
 // what was written to it, so that each time something is got done.
 func (c *conn) again(err error) bool {
@@ -444,6 +491,8 @@
 		switch {
 		case errors.Is(err, errSlots):
 			outcome = core.NotSent
+		case s.at.IsZero() && errors.Is(err, context.DeadlineExceeded):
+			outcome = core.ConnectTimeout
 		case !s.at.IsZero() && c.spoilt:
 			outcome = core.Cut
 		case !s.at.IsZero():
