--- a/aggregator/policy.go
+++ b/aggregator/policy.go
@@ -1,8 +1,9 @@
+package aggregator
+
 // Every decision of the aggregator; the types it works on (Settings, Event, Action) are in aggregator.go.
 //
 // A Step first takes in all its events, then walks the open queries in order of arrival: it admits the
 // new ones, places parts, chases attempts that are overdue, and ends what is complete or can't succeed.
-package aggregator
 
 import (
 	"cmp"
@@ -13,53 +14,55 @@
 
 // Tuning. All of it is in shares of what the settings state or the aggregator has observed.
 const (
-	extraRate    = 0.10  // further attempts earned by each first send, beside the rule's ration
-	extraStore   = 8.0   // and saved up at most
-	quickCost    = 0.3   // of one further attempt, for a retry after an attempt that ended quickly
-	strikeOut    = 2.0   // strikes that eject a replica
-	strikeFade   = 0.6   // what an answer leaves of the strikes
-	excessWeight = 0.3   // of a new sample in a replica's excess
-	poolWeight   = 0.05  // of a new sample in the fleet's excess
-	unlearned    = 0.1   // share of the aim that a part is taken to need before any was answered
-	baseQuantile = 0.10  // of a class's latencies: what a part takes on an unloaded replica
-	highQuantile = 0.95  // and what few exceed
-	worthsKept   = 128   // recent queries that a new one is ranked among
-	quantileStep = 0.02  // least share by which a quantile follows a new value
-	admitLow     = 0.50  // share of the aim within which the least worthy query must be expected
-	admitHigh    = 1.00  // and the worthiest
-	straggling   = 0.75  // excesses of the fleet for each e-fold of parts: a query's parts are slow together
-	chaseHigh    = 2.0   // high latencies after which a part stands out
-	chaseMid     = 4.0   // and median latencies, whichever is later
-	secondTimes  = 2.5   // high latencies of a part that are left for a second step, whose slowest part decides
-	lastShare    = 0.125 // share of a query's parts: so few are worth a second copy on suspicion
-	lateLeast    = 0.25  // late worth under which a query ends at its aim
-	pressShare   = 0.3   // share of the aim in the forecast above which a shard is pressed
-	spareTimes   = 6.0   // usual latencies in the forecast above which an answer does without a part
-	farTimes     = 1.5   // a tie counts a replica of another zone as slower by this
-	shunTimes    = 2.0   // median latencies that a full replica is left alone
-	coldUse      = 0.8   // share of the falling multiple that is used
-	coldCalls    = 8.0   // calls of all nodes in a falling window among which chance evens out
-	heardTimes   = 3.0   // times between two answers of a replica for which what was heard of it holds
-	gapWeight    = 0.01  // of a new sample in that time
-	joinShare    = 0.25  // a shared call may fill this share of the time to the aim
-	fewNodes     = 3.0   // nodes up to which each sees all that there is to see
-	probesEarned = 12.0  // by each bad sign, spent by probing holders before a part
-	silenceSign  = 0.15  // of a reset, as a sign: most silent parts are only slow
-	reapAims     = 8.0   // longest aims for which idle connections found dead are closed before use
-	freshShare   = 0.4   // share of the longest aim after which a replica must be heard again, on guard
-	riskShare    = 0.12  // share of the fleet that a query may touch before its first answer
-	scoutShare   = 0.12  // share of the aim that the rest waits for that answer
-	staleActs    = 2.0   // signs of dead idle connections, less those against, from which they are closed
-	idleLeast    = 0.1   // share of the longest aim above which a connection counts as idle
-	staleAnswer  = 0.25  // what an answer on a long idle connection counts against
-	wreckLimit   = 2     // replicas that may break under a query without any answer
-	askShare     = 0.04  // share of the aim that a part waits for the probes of its holders
-	roomShare    = 0.8   // share of the open queries and parts above which only worthy queries enter
-	reserveShare = 0.2   // share of the class's deadline that is kept back for a standstill of this node
-	stallAims    = 8.0   // longest aims for which a standstill is expected again
-	rounding     = 5e-5  // by which all weights may fall short of 1: half of what the rules allow
-	goneAims     = 40.0  // longest aims for which a replica that has left the list may come back as it was
-	askShares    = 0.06  // share of the rule's time between list calls over which the first one is spread
+	extraRate     = 0.10  // further attempts earned by each first send, beside the rule's ration
+	extraStore    = 8.0   // and saved up at most
+	quickCost     = 0.3   // of one further attempt, for a retry after an attempt that ended quickly
+	strikeOut     = 2.0   // strikes that eject a replica
+	strikeFade    = 0.6   // what an answer leaves of the strikes
+	excessWeight  = 0.3   // of a new sample in a replica's excess
+	poolWeight    = 0.05  // of a new sample in the fleet's excess
+	unlearned     = 0.1   // share of the aim that a part is taken to need before any was answered
+	baseQuantile  = 0.10  // of a class's latencies: what a part takes on an unloaded replica
+	highQuantile  = 0.95  // and what few exceed
+	worthsKept    = 128   // recent queries that a new one is ranked among
+	quantileStep  = 0.02  // least share by which a quantile follows a new value
+	admitLow      = 0.50  // share of the aim within which the least worthy query must be expected
+	admitHigh     = 1.00  // and the worthiest
+	straggling    = 0.75  // excesses of the fleet for each e-fold of parts: a query's parts are slow together
+	chaseHigh     = 2.0   // high latencies after which a part stands out
+	chaseMid      = 4.0   // and median latencies, whichever is later
+	secondTimes   = 2.5   // high latencies of a part that are left for a second step, whose slowest part decides
+	lastShare     = 0.125 // share of a query's parts: so few are worth a second copy on suspicion
+	lateLeast     = 0.25  // late worth under which a query ends at its aim
+	pressShare    = 0.3   // share of the aim in the forecast above which a shard is pressed
+	spareTimes    = 6.0   // usual latencies in the forecast above which an answer does without a part
+	farTimes      = 1.5   // a tie counts a replica of another zone as slower by this
+	shunTimes     = 2.0   // median latencies that a full replica is left alone
+	meanTimes     = 1.6   // latencies of light parts that the mean work of parts is taken for at most
+	unlearnedWork = 0.2   // and the share of the aim before any was answered: too much harms no replica in slow start
+	coldUse       = 0.8   // share of the falling multiple that is used
+	coldCalls     = 8.0   // calls of all nodes in a falling window among which chance evens out
+	heardTimes    = 3.0   // times between two answers of a replica for which what was heard of it holds
+	gapWeight     = 0.01  // of a new sample in that time
+	joinShare     = 0.25  // a shared call may fill this share of the time to the aim
+	fewNodes      = 3.0   // nodes up to which each sees all that there is to see
+	probesEarned  = 12.0  // by each bad sign, spent by probing holders before a part
+	silenceSign   = 0.15  // of a reset, as a sign: most silent parts are only slow
+	reapAims      = 8.0   // longest aims for which idle connections found dead are closed before use
+	freshShare    = 0.4   // share of the longest aim after which a replica must be heard again, on guard
+	riskShare     = 0.12  // share of the fleet that a query may touch before its first answer
+	scoutShare    = 0.12  // share of the aim that the rest waits for that answer
+	staleActs     = 2.0   // signs of dead idle connections, less those against, from which they are closed
+	idleLeast     = 0.1   // share of the longest aim above which a connection counts as idle
+	staleAnswer   = 0.25  // what an answer on a long idle connection counts against
+	wreckLimit    = 2     // replicas that may break under a query without any answer
+	askShare      = 0.04  // share of the aim that a part waits for the probes of its holders
+	roomShare     = 0.8   // share of the open queries and parts above which only worthy queries enter
+	reserveShare  = 0.2   // share of the class's deadline that is kept back for a standstill of this node
+	stallAims     = 8.0   // longest aims for which a standstill is expected again
+	rounding      = 5e-5  // by which all weights may fall short of 1: half of what the rules allow
+	goneAims      = 40.0  // longest aims for which a replica that has left the list may come back as it was
+	askShares     = 0.06  // share of the rule's time between list calls over which the first one is spread
 )
 
 // Step takes in the events of a round, in order, and appends the actions to out.
@@ -978,9 +981,16 @@
 	return sum+work*r.die <= room
 }
 
-// workOf is the work a part is expected to bring, its call included.
+// workOf is the mean work that a part is expected to bring, its call included. The latency on an unloaded replica is of
+// the lighter parts, the median also of the wait under load, which is why it counts up to a multiple of the other.
 func (a *Aggregator) workOf(p *part) float64 {
-	return math.Max(a.usual(p.q), p.work) + a.set.CallCost.Seconds()
+	mean := a.usual(p.q)
+	if s := a.stat(p.q); s.mid.n > 0 {
+		mean = min(max(mean, s.mid.v), meanTimes*mean)
+	} else {
+		mean = max(mean, unlearnedWork*a.set.Classes[p.q.class].Aim.Seconds())
+	}
+	return math.Max(mean, p.work) + a.set.CallCost.Seconds()
 }
 
 // idleLimit is the time without use after which connections were lately found dead, 0 for none.
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -93,7 +93,6 @@
 	wait     float64 // forecast at its query's admission, seconds
 	mayRun   bool
 	firstRun time.Duration // when the first attempt that may have run was sent
-	full     bool          // the last attempt was turned away
 	quick    bool          // the last attempt ended by itself, or its replica was ejected
 }
 
--- a/cmd/gullfall-lab/main.go
+++ b/cmd/gullfall-lab/main.go
@@ -25,6 +25,7 @@
 	Peers     peersCmd     `cmd:"" help:"Coordinators that watch each other: stalls, kills, lost packets, cuts one way and both; or --sizes in virtual time."`
 	Plan      planCmd      `cmd:"" help:"Orders in which machines go out for work, against the least there can be, zone by zone and one by one."`
 	Replicate replicateCmd `cmd:"" help:"Read, put and swap values of the coordinators' store among kills, stalls and cuts, and check that the history is linearizable."`
+	Verdict   verdictCmd   `cmd:"" help:"Read a run of go test -json and give one verdict, passing over the tests that a file lists as failing for a known fault."`
 	Work      workCmd      `cmd:"" help:"Take machines out for work by several coordinators among kills, stalls and cuts, and check that nothing is sent there."`
 	Zones     zonesCmd     `cmd:"" help:"Take a zone away from several coordinators and give it back: leaving, losses, twins and the cold bound, by data node and by zone."`
 }
--- a/cmd/gullfall/dnssd.go
+++ b/cmd/gullfall/dnssd.go
@@ -77,7 +77,6 @@
 	json     bool
 	quiet    bool // lists are shown at the end, not as they change
 	zone     string
-	source   *membership.Source
 	lists    int
 	failed   string
 	problems map[string][]dnssd.Problem
--- a/internal/admission/door.go
+++ b/internal/admission/door.go
@@ -60,7 +60,6 @@
 type Door struct {
 	cfg    Config
 	scopes map[scopeKey]*scope
-	all    *scope
 	idle   *list.List
 	heavy  []*Pass // those that hold bytes
 	count  uint64
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -26,12 +26,11 @@
 // zoneWatch is core's part of the zones' verdicts. Its fields are guarded by Core.mu; Core.zones itself is set before
 // Run and never after, so that where zones are not watched nothing here takes the lock.
 type zoneWatch struct {
-	t       *zones.Tracker
-	told    map[string]time.Time // when a change of the zone was last logged
-	untold  map[string]int       // by zone and verdict
-	heard   map[string]time.Time // by data node: when it last answered an attempt or a probe
-	cut     map[string]time.Time // and when a connection to it was last lost and could be opened again
-	settled bool
+	t      *zones.Tracker
+	told   map[string]time.Time // when a change of the zone was last logged
+	untold map[string]int       // by zone and verdict
+	heard  map[string]time.Time // by data node: when it last answered an attempt or a probe
+	cut    map[string]time.Time // and when a connection to it was last lost and could be opened again
 }
 
 // WatchZones lets zones that fail as a whole be left and returned to at a pace. It is called before Run; without it
--- a/internal/flight/auth.go
+++ b/internal/flight/auth.go
@@ -138,20 +138,21 @@
 	if !people.known() {
 		return status.Error(codes.Unimplemented, "no credentials are needed here; name the owner in the ticket")
 	}
-	owner, named := "", false
+	owner := ""
 	req, err := stream.Recv()
 	if err != nil && err != io.EOF {
 		return err
 	}
 	if err == nil && len(req.GetPayload()) > 0 {
 		var b gen.BasicAuth
+		named := false
 		if proto.Unmarshal(req.GetPayload(), &b) == nil {
 			owner, named = people.basic(b.GetUsername(), b.GetPassword())
 		}
 		if !named {
 			return errCredentials
 		}
-	} else if owner, named, err = s.caller(stream.Context()); err != nil {
+	} else if owner, _, err = s.caller(stream.Context()); err != nil {
 		return err
 	}
 	token := s.token(owner)
--- a/internal/lab/explore/model.go
+++ b/internal/lab/explore/model.go
@@ -134,12 +134,12 @@
 }
 
 type asked struct {
-	plan         planID
-	holder       uint8
-	late         bool
-	usable, cold uint8
-	started      [machines]uint8
-	says         [coords]record
+	plan    planID
+	holder  uint8
+	late    bool
+	usable  uint8
+	started [machines]uint8
+	says    [coords]record
 }
 
 type spoken struct {
