--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -141,10 +141,15 @@
 }
 
 func newRig(t *testing.T, p protocol, down int, acts ...string) *rig {
+	t.Helper()
+	return newRigWith(t, settings(), p, down, acts...)
+}
+
+func newRigWith(t *testing.T, set aggregator.Settings, p protocol, down int, acts ...string) *rig {
 	t.Helper()
 	b := &book{acts: acts, tries: map[string]int{}, out: map[int]attempt{}, starts: map[string]int{},
 		release: make(chan struct{})}
-	c, err := core.New(settings(), 7, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c, err := core.New(set, 7, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/faults/held_test.go
@@ -0,0 +1,117 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gullfall/internal/core"
+)
+
+// gate holds connections to a data node back until it is opened.
+type gate struct {
+	open    chan struct{}
+	waiting atomic.Int32
+}
+
+// gates are by the data node's address.
+var gates sync.Map
+
+// pass waits for the gate of an address, if there is one.
+func pass(ctx context.Context, addr string) error {
+	held, ok := gates.Load(addr)
+	if !ok {
+		return nil
+	}
+	g := held.(*gate)
+	g.waiting.Add(1)
+	select {
+	case <-g.open:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// hold lets no connection to a data node come up until release is called.
+func (r *rig) hold() (g *gate, release func()) {
+	g = &gate{open: make(chan struct{})}
+	for _, n := range r.nodes {
+		gates.Store(n.Addr, g)
+	}
+	return g, func() {
+		close(g.open)
+		for _, n := range r.nodes {
+			gates.Delete(n.Addr)
+		}
+	}
+}
+
+// held are what may happen while a part waits for its connection, in both protocols. Nothing may be sent after it.
+var held = []struct {
+	name string
+	play func(r *rig, leave func(), done <-chan string) []string
+	want []string
+}{
+	{"the client leaves", func(_ *rig, leave func(), done <-chan string) []string {
+		leave()
+		return []string{<-done}
+	}, []string{"gone", "sent 0"}},
+	{"the data nodes drain", func(r *rig, _ func(), done <-chan string) []string {
+		for _, n := range r.nodes {
+			n.State = core.Draining
+			r.fleet.Change([]core.Member{n})
+		}
+		return []string{<-done}
+	}, []string{"refused", "sent 0"}},
+	{"the list leaves the data nodes out", func(r *rig, _ func(), done <-chan string) []string {
+		r.fleet.Replace(nil, false)
+		return []string{<-done}
+	}, []string{"refused", "sent 0"}},
+}
+
+// TestHeldConnections: what may no longer be sent once a connection has come up is not, also where the settings let no
+// attempt be cancelled.
+func TestHeldConnections(t *testing.T) {
+	for _, h := range held {
+		for _, p := range protocols {
+			for _, cancels := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/cancels=%v", h.name, p.name, cancels), func(t *testing.T) {
+					t.Parallel()
+					set := settings()
+					set.Limits.Cancel = cancels
+					r := newRigWith(t, set, p, 0, "ok")
+					g, release := r.hold()
+					ctx, leave := context.WithDeadline(t.Context(), time.Now().Add(3*time.Second))
+					defer leave()
+					done := make(chan string, 1)
+					go func() { done <- r.ask(ctx, "report", "club", 0) }()
+					r.until("a connection is being opened", func() bool { return g.waiting.Load() > 0 })
+					got := h.play(r, leave, done)
+					time.Sleep(20 * time.Millisecond) // the program has heard that the client has left
+					release()
+					time.Sleep(100 * time.Millisecond)
+					got = append(got, fmt.Sprint("sent ", r.b.at("n1")+r.b.at("n2")))
+					if diff := cmp.Diff(h.want, got); diff != "" {
+						t.Errorf("(-want +got)\n%s", diff)
+					}
+				})
+			}
+		}
+	}
+}
+
+// dial opens a connection to a data node, once its gate is open.
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	if err := pass(ctx, addr); err != nil {
+		return nil, err
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
--- a/internal/faults/standins_test.go
+++ b/internal/faults/standins_test.go
@@ -49,10 +49,6 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
-	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-}
-
 func carryFrames(c *core.Core) core.Carry {
 	return (&platform.Nodes{Core: c, Log: quiet, Dial: dial, Streams: 32, Connect: 250 * time.Millisecond,
 		Idle: 30 * time.Second, Slots: make(chan struct{}, 64)}).Carry
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -3,7 +3,18 @@
 // What is owed at the instants in which something ends, over loopback connections. Each scenario holds the instant, so that
 // the bad order comes every time; docs/design/ending.md names them beside the paths.
 
-import "testing"
+import (
+	"bufio"
+	"fmt"
+	"log/slog"
+	"net/textproto"
+	"strings"
+	"testing"
+	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/core"
+)
 
 var endings = []struct {
 	name, nodes, script string
@@ -71,20 +82,19 @@
 		c1 expect end`},
 	// The time of a request that was sent ahead runs from when it came in, not from its turn.
 	{"a pipelined request's time", "n1", `
-		c1 send both q1 2000 q2 1900 2
+		c1 send both q1 2000 q2 300 2
 		n1 expect Q q1.0
-		wait 150ms
+		wait 350ms
 		n1 send A q1.0 ok v
 		c1 expect 200
-		n1 expect Q q2.2
-		n1 send A q2.2 ok w
-		c1 expect 200`},
+		c1 expect 400
+		n1 expect -`},
 	// The end of a connection is behind what was sent ahead: it must be seen all the same.
 	{"a client that leaves with a request sent ahead", "n1", `
 		c1 send both q1 2000 q2 2000 2
 		n1 expect Q q1.0
 		c1 close
-		n1 expect X q1.0
+		n1 find X q1.0
 		n1 expect -`},
 	{"a client that floods its connection", "n1", `
 		c1 send query q1 2000 0
@@ -180,6 +190,7 @@
 		d1 send indented {"version":42,"full":true,"servers":[{"id":"n2","addr":"n2","cell":1,"state":"SERVING"}]}
 		wait 10ms
 		c1 send query q1 2000 0
+		n1 expect -
 		c1 expect 503 after {"error":"refused"}
 		c2 send query q2 2000 1
 		n2 expect Q q2.1
@@ -212,6 +223,32 @@
 		c1 expect 200`},
 }
 
+// TestLateAnswer: where the program comes to a query only after its time, the client still gets its answer: late it earns
+// nothing, never it is lost.
+func TestLateAnswer(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, Cells: 1, Shards: 1, Reach: 1,
+		Classes: []aggregator.Class{{Name: "report", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+	c, err := core.New(set, 7, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, real: true}
+	ours, theirs := w.pair()
+	defer ours.Close()
+	clients := &Clients{Core: c, Log: log, MaxConns: 9, BodyMemory: 1 << 20}
+	go clients.ServeConn(theirs)
+	body := `{"shards":[{"shard":0,"weight":1}],"q":"text"}`
+	fmt.Fprintf(ours, "POST /report HTTP/1.1\r\nReq-Id: q\r\nReq-Deadline-Ms: 100\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	time.Sleep(120 * time.Millisecond)
+	go c.Run(t.Context())
+	ours.SetReadDeadline(time.Now().Add(time.Second))
+	msg, err := readResponse(textproto.NewReader(bufio.NewReader(ours)))
+	if err != nil || !strings.HasPrefix(msg, "500 ") {
+		t.Errorf("got %q, %v; want 500", msg, err)
+	}
+}
+
 func TestEndings(t *testing.T) {
 	for _, s := range endings {
 		t.Run(s.name, func(t *testing.T) {
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -4,7 +4,7 @@
 // c2 ... clients; n1, n2 ... data nodes, n1 for the even shards and n2 for the odd; m1 a data node for the even
 // shards that takes connections and never reads; h1 one whose connections never come up; d1 discovery; s1 the
 // signals. A data node's connection carries 32 parts, or as many as streams= says; busy=
-// is what clients may have. "expect -" tells that nothing has come, "expect end" that the connection was closed.
+// is what clients may have. "expect -" tells that nothing has come, find expects what has come already, "expect end" that the connection was closed.
 
 import (
 	"bufio"
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"gullfall/aggregator"
 	"gullfall/internal/core"
@@ -501,6 +502,8 @@
 	msgs   chan string
 	headed net.Conn
 
+	complain func(format string, args ...any)
+
 	mu    sync.Mutex
 	hooks map[string]func() // by instant, each once
 	gate  chan struct{}     // connections come up once it is closed; nil where they do at once
@@ -577,6 +580,32 @@
 	return half.CloseWrite()
 }
 
+// Close tells of a close over bytes that were not read: it resets the connection, and what was written may go with it.
+func (h *hookedConn) Close() error {
+	if unread := unread(h.Conn); unread > 0 {
+		h.client.complain("%s: its connection was closed over %d unread bytes", h.client.name, unread)
+	}
+	return h.Conn.Close()
+}
+
+// unread is how many bytes have come in on a connection that nobody has read; 0 where it can't be told.
+func unread(nc net.Conn) (n int) {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err != nil {
+			n = 0
+		}
+	})
+	return n
+}
+
 // fire runs what is to happen at an instant.
 func (a *actor) fire(instant string) {
 	a.mu.Lock()
@@ -670,8 +699,8 @@
 		switch words[1] {
 		case "send":
 			w.send(a, words[2])
-		case "expect":
-			got := w.next(a, words[2] == "-")
+		case "expect", "find":
+			got := w.next(a, words[1] == "find" || words[2] == "-")
 			want := words[2]
 			if n := len(want); a.name[0] == 'c' && len(got) > n && !strings.Contains(want, "{") {
 				got = strings.TrimSpace(got[:n]) // the status only
@@ -766,7 +795,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.actors[name] == nil {
-		w.actors[name] = &actor{name: name, dials: make(chan net.Conn, 9), msgs: make(chan string, 99)}
+		w.actors[name] = &actor{name: name, complain: w.t.Errorf, dials: make(chan net.Conn, 9), msgs: make(chan string, 99)}
 	}
 	return w.actors[name]
 }
