The module in three files, its functions under the field's names; the same decisions

Renamed: stand, heed, share, ask, warn, sees, fresh, sound, list, warmUp, straggle, strike, survey, scouts, spare, push, coldRoom, workOf, afford, mayExtra.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -1,6 +1,6 @@
 // Package aggregator decides what the root node of a sharded search service does with its queries: which
 // replica gets each part, when to try again, when to reply, and what to refuse. This file is the
-// interface; policy.go makes every decision.
+// interface; policy.go, placement.go and health.go make every decision.
 package aggregator
 
 import "time"
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -376,11 +376,11 @@
 			a.close(q)
 		}
 	case ListChanged, ListReplaced, ListRemembered:
-		a.list(e)
+		a.updateList(e)
 	case ProbeEnded:
 		a.probed(e)
 	case PeerTold:
-		a.heed(e)
+		a.takePeerNews(e)
 	case ListRefused:
 		a.asking = true
 	}
