Take back: attempts given up as a latency; one lost part turned away the next query of its holder

TestTimeOutIsTold (internal/core) fails with it: after one part that is never answered, the next query for the same data node, the only one, is refused. Messages of faulty settings begin with the key's name again, as TestBadSettingsPanicOnTheWire wants; the linter's rule on that is excepted there by line.

--- a/aggregator/settings.go
+++ b/aggregator/settings.go
@@ -10,13 +10,16 @@
 // check names the first figure that can't be served.
 func (set Settings) check() error {
 	if set.Cells < 1 || set.Shards < 1 {
-		return fmt.Errorf("key Cells, Shards: %d, %d: both must be above 0", set.Cells, set.Shards)
+		//lint:ignore ST1005 the message begins with the name of the key
+		return fmt.Errorf("Cells, Shards: %d, %d: both must be above 0", set.Cells, set.Shards)
 	}
 	if set.Reach < 1 || set.Reach > set.Cells {
-		return fmt.Errorf("key Reach: %d is not within 1 and Cells (%d)", set.Reach, set.Cells)
+		//lint:ignore ST1005 the message begins with the name of the key
+		return fmt.Errorf("Reach: %d is not within 1 and Cells (%d)", set.Reach, set.Cells)
 	}
 	if len(set.Classes) == 0 {
-		return errors.New("key Classes: none")
+		//lint:ignore ST1005 the message begins with the name of the key
+		return errors.New("Classes: none")
 	}
 	bad := func(xs ...float64) bool {
 		return slices.ContainsFunc(xs, func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) })
@@ -24,13 +27,14 @@
 	for i, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline <= 0 || c.Memory < 0 || c.Fetch < 0 ||
 			bad(c.Worth, c.LateWorth, c.Need, c.Floor, c.Partial) {
-			return fmt.Errorf("key Classes[%d]: a figure is negative, not finite or missing", i)
+			//lint:ignore ST1005 the message begins with the name of the key
+			return fmt.Errorf("Classes[%d]: a figure is negative, not finite or missing", i)
 		}
 	}
 	r, l := set.Rules, set.Limits
 	if min(r.DrainGrace, r.FallWindow, r.WarmAfter, r.BudgetWindow, r.AskEvery, l.MaxRetryAfter, set.Tick,
 		set.CallCost) < 0 || bad(r.FallMultiple, r.ColdShare, r.BudgetFree, r.BudgetShare, set.OverShareWorth) {
-		return errors.New("key Rules, Limits: a figure is negative or not finite")
+		return errors.New("Rules, Limits: a figure is negative or not finite")
 	}
 	return nil
 }
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -543,19 +543,6 @@
 	r.pace += excessWeight / 2 * (took/float64(t.place) - r.pace)
 }
 
-// learnAtLeast takes in an attempt that was given up: how long it would have taken is not known, only that it is longer than
-// this. Where nothing was said of it, a jam in which all is given up was forgotten as it lasted. Silence on a connection that
-// had idled tells nothing while such are found dead.
-func (a *Aggregator) learnAtLeast(t *attempt, took float64) {
-	r := t.r
-	over := took - a.usual(t.p.q)
-	if over <= a.faded(r) || a.idled(t) && (r.hushed > 0 || a.idleLimit() > 0) {
-		return
-	}
-	r.excess, r.sampled = over, a.now
-	a.pool, a.pooled = a.pool+poolWeight*(over-a.pool), a.now
-}
-
 // longAim is the longest aim of any class.
 func (a *Aggregator) longAim() (aim time.Duration) {
 	for _, c := range a.set.Classes {
