A remembered list is confirmed by a blank line too, where nothing has changed

A watch that asks for what has changed since its version may get blank lines alone where nothing has (discovery.go apply was the only place that confirmed), and the coordinator would then refuse every query for as long as nothing changed. A blank line on such a watch confirms the list now, and brings it back if it was withheld. The two scenarios of TestEndings on it fail without this and pass with it.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -58,15 +58,17 @@
 // source is one connection to discovery, or the attempt to open one.
 type source struct {
 	addr, target string
+	since        bool          // it is asked for what has changed since the version that is held
 	patience     time.Duration // how long it may bring nothing before its first line
 	told         chan<- telling
 	stop         context.CancelFunc
 }
 
-// telling is what a source has brought: that it is open, a page, or its end.
+// telling is what a source has brought: that it is open, that nothing has changed, a page, or its end.
 type telling struct {
 	from *source
 	open bool
+	idle bool
 	page *page
 	end  error
 }
@@ -168,6 +170,14 @@
 	w.Source.Change(list)
 }
 
+// confirm takes a remembered list for the present one: discovery has been asked for what has changed since, and nothing has.
+func (w *Watch) confirm() {
+	if w.withheld {
+		w.Source.Replace(w.all(), false)
+	}
+	w.confirmed, w.withheld = true, false
+}
+
 // Move goes over to discovery at another address. It returns once Run knows of it, or ctx ends.
 func (w *Watch) Move(ctx context.Context, addr string) {
 	select {
@@ -183,6 +193,7 @@
 	open := func() *source {
 		s := &source{addr: w.addr, target: "/discovery/hosts?watch=1", patience: w.Calls.Patience(), told: told}
 		if w.listed && !w.moved {
+			s.since = true
 			s.target += "&after=" + strconv.FormatInt(w.version, 10)
 		}
 		var running context.Context
@@ -243,6 +254,10 @@
 					w.Log.Info("watch on discovery is open again", "version", w.version)
 				}
 				w.away = false
+			case t.idle:
+				if t.from == now && t.from.since {
+					w.confirm()
+				}
 			default:
 				if t.from == next {
 					if now != nil {
@@ -326,7 +341,8 @@
 		live.silence = membership.Quiet
 		s.tell(ctx, telling{open: true})
 	}}
-	for pages := newPageReader(opened); ; {
+	idle := func() { s.tell(ctx, telling{idle: true}) }
+	for pages := newPageReader(opened, idle); ; {
 		p, err := pages.next()
 		if err != nil {
 			return err
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -221,6 +221,26 @@
 		n1 expect Q q2.0
 		n1 send A q2.0 ok v
 		c1 expect 200`},
+	// Where nothing has changed since the version that is remembered, a blank line is all that comes.
+	{"a remembered list that a blank line confirms", "n1 confirm=200", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		d1 send line
+		wait 210ms
+		c1 send query q1 2000 0
+		n1 expect Q q1.0
+		n1 send A q1.0 ok v
+		c1 expect 200`},
+	{"a remembered list that a blank line confirms late", "n1 confirm=200", `
+		d1 expect GET /discovery/hosts?watch=1&after=41
+		wait 210ms
+		c1 send query q1 2000 0
+		c1 expect 503 after {"error":"refused"}
+		d1 send line
+		wait 10ms
+		c1 send query q2 2000 0
+		n1 expect Q q2.0
+		n1 send A q2.0 ok v
+		c1 expect 200`},
 }
 
 // TestLateAnswer: where the program comes to a query only after its time, the client still gets its answer: late it earns
--- a/internal/platform/pages.go
+++ b/internal/platform/pages.go
@@ -16,13 +16,16 @@
 // them. A blank line within an object tells that its rest is lost; blank lines alone would keep such a watch open for good.
 type pageReader struct {
 	in      *bufio.Reader
+	idle    func() // called at each blank line between messages: nothing has changed
 	message []byte
 	depth   int // of braces and brackets that are open
 	text    bool
 	escaped bool
 }
 
-func newPageReader(in io.Reader) *pageReader { return &pageReader{in: bufio.NewReader(in)} }
+func newPageReader(in io.Reader, idle func()) *pageReader {
+	return &pageReader{in: bufio.NewReader(in), idle: idle}
+}
 
 // next reads one message.
 func (r *pageReader) next() (*page, error) {
@@ -35,6 +38,7 @@
 		}
 		switch {
 		case len(line) == 0 && len(r.message) == 0:
+			r.idle()
 			continue
 		case len(line) == 0:
 			return nil, errCutPage
--- a/internal/platform/pages_test.go
+++ b/internal/platform/pages_test.go
@@ -27,7 +27,7 @@
 		{"cut by the end", "{\n  \"version\": 7,\n", nil, 0, io.EOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			pages := newPageReader(strings.NewReader(c.text))
+			pages := newPageReader(strings.NewReader(c.text), func() {})
 			var versions []int64
 			entries := 0
 			for {
@@ -45,7 +45,7 @@
 			}
 		})
 	}
-	pages := newPageReader(strings.NewReader("[}\n"))
+	pages := newPageReader(strings.NewReader("[}\n"), func() {})
 	if p, err := pages.next(); err == nil {
 		t.Errorf("read %+v from what is no object", p)
 	}
