--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -410,28 +410,34 @@
 	if c.cancel == nil {
 		return
 	}
+	c.turnBack(core.ConnectTimeout, core.Reset)
+	if slices.ContainsFunc(c.l.conns, func(o *conn) bool { return o.late && !o.closed }) {
+		c.shut()
+		return
+	}
+	c.late = true
+}
+
+// turnBack reports all that waits for a connection or was out on it: what was not begun ends as unsent, what was as begun.
+// The caller holds the lock.
+func (c *conn) turnBack(unsent, begun core.Outcome) {
 	for id, s := range c.out {
 		delete(c.out, id)
-		outcome := core.ConnectTimeout
-		if !s.at.IsZero() {
-			outcome = core.Reset
+		if s.at.IsZero() {
+			c.report(s, unsent)
+		} else {
+			c.report(s, begun)
 		}
-		c.report(s, outcome)
 	}
 	for _, f := range c.queue {
 		if f.probe != nil {
-			c.end(f.probe, core.Result{Outcome: core.ConnectTimeout})
+			c.end(f.probe, core.Result{Outcome: unsent})
 		}
 	}
 	for _, p := range c.probes {
 		c.end(p, core.Result{Outcome: core.Reset})
 	}
 	c.queue, c.probes = nil, nil
-	if slices.ContainsFunc(c.l.conns, func(o *conn) bool { return o.late && !o.closed }) {
-		c.shut()
-		return
-	}
-	c.late = true
 }
 
 // again tells whether a connection that ended is to be opened anew: it carried parts, and the data node took in
@@ -486,28 +492,17 @@
 	if len(c.out) > 0 {
 		c.l.Log.Info("connection to data node ended", "node", c.l.node.ID(), "parts", len(c.out), "cause", err)
 	}
-	for _, s := range c.out {
-		outcome := core.NotConnected
-		switch {
-		case errors.Is(err, errSlots):
-			outcome = core.NotSent
-		case s.at.IsZero() && errors.Is(err, context.DeadlineExceeded):
-			outcome = core.ConnectTimeout
-		case !s.at.IsZero() && c.spoilt:
-			outcome = core.Cut
-		case !s.at.IsZero():
-			outcome = core.Reset
-		}
-		c.report(s, outcome)
-	}
-	for _, f := range c.queue {
-		if f.probe != nil {
-			c.end(f.probe, core.Result{Outcome: core.NotConnected})
-		}
+	unsent, begun := core.NotConnected, core.Reset
+	switch {
+	case errors.Is(err, errSlots):
+		unsent = core.NotSent
+	case errors.Is(err, context.DeadlineExceeded):
+		unsent = core.ConnectTimeout
 	}
-	for _, p := range c.probes {
-		c.end(p, core.Result{Outcome: core.Reset})
+	if c.spoilt {
+		begun = core.Cut
 	}
+	c.turnBack(unsent, begun)
 	if c.slot {
 		<-c.l.Slots
 	}
