Two attempts in a row given up without an answer count as at least that slow

Counting the first such attempt turned away the next query of a sole holder (TestTimeOutIsTold); from the second without an answer between it counts now (state.go learnAtLeast). Without it TestTimeoutsAreRemembered lets 10 of 10 queries in.

--- a/aggregator/health.go
+++ b/aggregator/health.go
@@ -87,6 +87,8 @@
 		a.pool, a.pooled = a.pool+poolWeight*(r.excess-a.pool), a.now
 	case Moot:
 		a.release(t)
+	case TimedOut, Cancelled:
+		a.learnAtLeast(t, took)
 	}
 	if !neverRan[e.Outcome] && !p.mayRun {
 		p.mayRun, p.firstRun = true, t.at
--- a/aggregator/placement.go
+++ b/aggregator/placement.go
@@ -281,8 +281,7 @@
 // much. Where a node's share is less than a part, it accrues and may be saved up for two falling windows.
 // Calls are then rationed by chance: a die thrown anew with each one, and each window, says how much of it
 // must have accrued, so that nodes don't send in step, and what is sent ahead is paid later. The die counts
-// one window's share at most: all nodes may have saved when all are asked at once. A call may hold more parts
-// as long as the room of all nodes holds many such.
+// one window's share at most, as all may have saved. A call holds more parts while all nodes' room is large.
 func (a *Aggregator) slowStartRoom(p *part, r *replica) bool {
 	b := a.set.Rules
 	if b.FallMultiple == 0 || b.FallWindow == 0 {
--- a/aggregator/state.go
+++ b/aggregator/state.go
@@ -23,42 +23,43 @@
 }
 
 type replica struct {
-	member   Member
-	tag      uint16        // its name in messages between nodes
-	others   float64       // work that other nodes sent, seconds
-	othersAt time.Duration // as of then
-	barred   bool          // the list says draining or gone
-	left     time.Duration // when it left the list; 0 while it is listed
-	cold     bool
-	born     time.Duration // start of its warm-up, if cold
-	open     []*attempt    // in order of sending, ghosts included
-	calls    int           // calls with open attempts
-	call     *call         // the call of the round in hand
-	sent     []load        // while cold, within the falling window
-	thrown   time.Duration // when die was thrown
-	die      float64       // the share of a call that must fit into the room while cold
-	room     float64       // work that this node may send while cold; below 0 what it has sent ahead
-	accrued  time.Duration // until when room was counted
-	excess   float64       // recent latency above the class's base, seconds
-	pace     float64       // seconds a call takes for each of ours that is out
-	answers  int
-	passed   time.Duration // when the latest attempt that was answered had been sent
-	sampled  time.Duration
-	heard    time.Duration // last answer
-	seen     time.Duration // last probe that came back
-	used     time.Duration // last send or answer
-	hushed   time.Duration // how long its connections had idled before a call that got no answer
-	asked    time.Duration // last probe sent before a part
-	doubted  time.Duration // when it failed a probe or a part, or owed an answer to a probe; 0 once it answers
-	load     float64       // what its last report said it holds
-	strikes  float64
-	ejected  bool
-	shunned  time.Duration // full until about then
-	cut      int           // the round that last counted a lost connection
-	leaky    bool          // its last failure was a quick error
-	cleared  bool          // a trial part may be sent
-	until    time.Duration // no trial before
-	backoff  time.Duration
+	member     Member
+	tag        uint16        // its name in messages between nodes
+	others     float64       // work that other nodes sent, seconds
+	othersAt   time.Duration // as of then
+	barred     bool          // the list says draining or gone
+	left       time.Duration // when it left the list; 0 while it is listed
+	cold       bool
+	born       time.Duration // start of its warm-up, if cold
+	open       []*attempt    // in order of sending, ghosts included
+	calls      int           // calls with open attempts
+	call       *call         // the call of the round in hand
+	sent       []load        // while cold, within the falling window
+	thrown     time.Duration // when die was thrown
+	die        float64       // the share of a call that must fit into the room while cold
+	room       float64       // work that this node may send while cold; below 0 what it has sent ahead
+	accrued    time.Duration // until when room was counted
+	excess     float64       // recent latency above the class's base, seconds
+	pace       float64       // seconds a call takes for each of ours that is out
+	answers    int
+	unanswered int           // attempts given up since the last answer
+	passed     time.Duration // when the latest attempt that was answered had been sent
+	sampled    time.Duration
+	heard      time.Duration // last answer
+	seen       time.Duration // last probe that came back
+	used       time.Duration // last send or answer
+	hushed     time.Duration // how long its connections had idled before a call that got no answer
+	asked      time.Duration // last probe sent before a part
+	doubted    time.Duration // when it failed a probe or a part, or owed an answer to a probe; 0 once it answers
+	load       float64       // what its last report said it holds
+	strikes    float64
+	ejected    bool
+	shunned    time.Duration // full until about then
+	cut        int           // the round that last counted a lost connection
+	leaky      bool          // its last failure was a quick error
+	cleared    bool          // a trial part may be sent
+	until      time.Duration // no trial before
+	backoff    time.Duration
 }
 
 type call struct {
@@ -527,6 +528,7 @@
 // learn takes a latency into the accounts of its class, its replica and the fleet.
 func (a *Aggregator) learn(t *attempt, took float64) {
 	r, p := t.r, t.p
+	r.unanswered = 0
 	s := a.stat(p.q)
 	if t.c.size <= 1 {
 		s.base.add(took)
@@ -543,6 +545,20 @@
 	r.pace += excessWeight / 2 * (took/float64(t.place) - r.pace)
 }
 
+// learnAtLeast takes in an attempt that was given up: how long it would have taken is not known, only that it is longer than
+// this. Where nothing was said of it, a jam in which all is given up was forgotten as it lasted. The first without an answer
+// between says nothing yet, nor does silence on a connection that had idled while such are found dead.
+func (a *Aggregator) learnAtLeast(t *attempt, took float64) {
+	r := t.r
+	r.unanswered++
+	over := took - a.usual(t.p.q)
+	if r.unanswered < 2 || over <= a.faded(r) || a.idled(t) && (r.hushed > 0 || a.idleLimit() > 0) {
+		return
+	}
+	r.excess, r.sampled = over, a.now
+	a.pool, a.pooled = a.pool+poolWeight*(over-a.pool), a.now
+}
+
 // longAim is the longest aim of any class.
 func (a *Aggregator) longAim() (aim time.Duration) {
 	for _, c := range a.set.Classes {
--- /dev/null
+++ b/aggregator/timeout_test.go
@@ -0,0 +1,45 @@
+package aggregator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestTimeoutsAreRemembered: where what is sent is given up unanswered, most queries that follow are turned away as long as
+// that counts, not let in because nothing is out any more. One is let in again later, to see.
+func TestTimeoutsAreRemembered(t *testing.T) {
+	set := testSettings()
+	set.Cells, set.Shards, set.Reach = 1, 1, 1
+	b := newBench(t, set, Member{Replica: "a"})
+	for i := range 40 { // it learns how long a part takes
+		for _, s := range only(b.step(asks(fmt.Sprint("first", i), 3*time.Second, 0)...), Send) {
+			b.now += 20 * ms
+			b.step(ended(s.Part, 0, OK))
+		}
+	}
+	for i := range 2 { // the first is no sign yet
+		acts := b.step(asks(fmt.Sprint("lost", i), 3*time.Second, 0)...)
+		if len(only(acts, Send)) != 1 {
+			t.Fatalf("query %d was not let in: %+v", i, acts)
+		}
+		acts = b.after(time.Second)
+		for _, c := range only(acts, Cancel) {
+			b.step(ended(c.Part, c.Attempt, TimedOut))
+		}
+		if len(only(acts, Refuse)) != 1 {
+			t.Fatalf("query %d, never answered, ended by %+v", i, acts)
+		}
+	}
+	sent := 0
+	for i := range 10 {
+		sent += len(only(b.step(asks(fmt.Sprint("soon", i), 3*time.Second, 0)...), Send))
+	}
+	if sent > 3 {
+		t.Errorf("right after it %d of 10 queries were let in", sent)
+	}
+	b.after(5 * time.Second)
+	if acts := b.step(asks("later", 3*time.Second, 0)...); len(only(acts, Send)) != 1 {
+		t.Errorf("long after it a query was not let in: %+v", acts)
+	}
+}
