--- a/review/standin/harness.go
+++ b/review/standin/harness.go
@@ -86,15 +86,13 @@
 	// A case ends within its own bounds; this ends one that does not, and its processes with it.
 	time.AfterFunc(110*time.Second, func() {
 		fmt.Println("the case did not end in time")
-		w.killAll()
-		os.Exit(failed)
+		w.abort()
 	})
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
 		<-signals
-		w.killAll()
-		os.Exit(failed)
+		w.abort()
 	}()
 	w.logf("case %s, trouble %v", name, w.trouble)
 	breaks, err := cases[name](w)
@@ -125,6 +123,13 @@
 	return status
 }
 
+// abort ends a run that can't be judged.
+func (w *world) abort() {
+	w.killAll()
+	_ = os.RemoveAll(w.dir)
+	os.Exit(failed)
+}
+
 // logf writes a line with the time since the start into the record.
 func (w *world) logf(format string, args ...any) {
 	w.mu.Lock()
