Keyed repeats: the window counts from the earliest attempt, not from the one that ends first

Cause: part.firstRun was set by the first attempt that ended. With hedging that is the hedged request, sent 0.6 s after the first attempt; once the first attempt ended too, beginWithin counted the window from the hedged request, and Action.BeginWithin with it.

Evidence: trace of the untouched program: sent at 0.000 s, hedged at 0.601 s, sent again at 1.409 s. The new test TestDedupWindowCountsFromTheFirstAttempt failed without the fix: "3 attempts, the last at most 1.32s after the first; want 2".

Change: each attempt keeps whether it may have run; part.firstPossibleRun returns the earliest that is open or may have run, in order of sending. rejectOrFail asks the same function.

--- a/aggregator/answer.go
+++ b/aggregator/answer.go
@@ -93,7 +93,7 @@
 func (a *Aggregator) rejectOrFail(q *query, reason Reason) {
 	kind, retryAfter := Reject, time.Duration(0)
 	for _, p := range q.parts {
-		if a.settings.Classes[q.class].Effect != Safe && (p.mayHaveRun || p.openAttempts() > 0) {
+		if a.settings.Classes[q.class].Effect != Safe && p.firstPossibleRun() != nil {
 			kind = Fail
 		}
 	}
--- a/aggregator/attempt.go
+++ b/aggregator/attempt.go
@@ -24,6 +24,7 @@
 	sentAt       time.Duration
 	callPosition int           // open calls to the replica when it was sent, its own included
 	open         bool          // no outcome yet
+	mayHaveRun   bool          // it has ended with an outcome after which the replica may have run it
 	newConn      bool          // sent on a new connection
 	connIdle     time.Duration // how long the connections to the replica had been unused
 	cancelled    bool          // a Cancel was issued, so its answer is of no use
--- a/aggregator/harness_test.go
+++ b/aggregator/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -46,6 +47,7 @@
 	aggregator *Aggregator
 	now        time.Duration
 	attempts   map[string]int // number of attempts by part
+	queries    int            // number of queries that answerQueries has sent
 	last       []Action
 }
 
@@ -102,6 +104,20 @@
 	return found
 }
 
+// answerQueries runs n queries of one part, one after the other. Each is answered after 50 ms, except by the hung replicas,
+// which don't answer.
+func (h *harness) answerQueries(n int, hung ...string) {
+	for range n {
+		h.queries++
+		id := fmt.Sprint("answered", h.queries)
+		sends := actionsOf(h.step(queryEvents(id, 3*time.Second, h.queries%h.settings.Shards)...), Send)
+		h.runFor(50 * ms)
+		if len(sends) == 1 && !slices.Contains(hung, sends[0].Replica) {
+			h.step(attemptEnded(sends[0].Part, 0, OK))
+		}
+	}
+}
+
 // reactingFleet drives one aggregator whose replicas answer as determined by react.
 type reactingFleet struct {
 	*harness
--- a/aggregator/outcome.go
+++ b/aggregator/outcome.go
@@ -14,14 +14,11 @@
 	if t == nil || !t.open {
 		return
 	}
-	t.open = false
+	t.open, t.mayHaveRun = false, !neverRan[e.Outcome]
 	took := max(a.now-t.sentAt-a.pauses.delay, 0).Seconds()
 	a.applyOutcome(t, e.Outcome, took)
 
 	p := t.part
-	if !neverRan[e.Outcome] && !p.mayHaveRun {
-		p.mayHaveRun, p.firstRun = true, t.sentAt
-	}
 	if e.Outcome != Cancelled {
 		p.cheapRetry = e.Outcome != TimedOut
 	}
--- a/aggregator/query.go
+++ b/aggregator/query.go
@@ -40,11 +40,20 @@
 	work       float64 // expected work in seconds; 0 if unknown
 	attempts   []*attempt
 	answered   bool
-	abandoned  bool          // no further attempt is made
-	forecast   float64       // latency expected at admission, in seconds
-	mayHaveRun bool          // an attempt that may have run has ended
-	firstRun   time.Duration // send time of the first such attempt
-	cheapRetry bool          // its last attempt ended by itself or its replica is failing, so a retry adds little work
+	abandoned  bool    // no further attempt is made
+	forecast   float64 // latency expected at admission, in seconds
+	cheapRetry bool    // its last attempt ended by itself or its replica is failing, so a retry adds little work
+}
+
+// firstPossibleRun returns the earliest attempt that may have run, or nil. The order in which attempts end doesn't matter: an
+// open attempt may have run too.
+func (p *part) firstPossibleRun() *attempt {
+	for _, t := range p.attempts { // in order of sending
+		if t.open || t.mayHaveRun {
+			return t
+		}
+	}
+	return nil
 }
 
 func (p *part) openAttempts() (n int) {
--- a/aggregator/retry.go
+++ b/aggregator/retry.go
@@ -36,21 +36,15 @@
 }
 
 // beginWithin returns the time within which a further attempt must begin to run: unlimited for a class that may be repeated
-// freely, and the rest of the deduplication window for one whose repeats are dropped. At 0 or less no further attempt is
-// safe.
+// freely, and the rest of the deduplication window for one whose repeats are dropped. The window counts from the earliest
+// attempt that may have run, even if a later one ended first. At 0 or less no further attempt is safe.
 func (a *Aggregator) beginWithin(p *part) time.Duration {
-	c := &a.settings.Classes[p.query.class]
-	firstRun, mayHaveRun := p.firstRun, p.mayHaveRun
-	for _, t := range p.attempts {
-		if t.open && (!mayHaveRun || t.sentAt < firstRun) {
-			firstRun, mayHaveRun = t.sentAt, true
-		}
-	}
+	c, first := &a.settings.Classes[p.query.class], p.firstPossibleRun()
 	switch {
-	case !mayHaveRun || c.Effect == Safe:
+	case first == nil || c.Effect == Safe:
 		return math.MaxInt64
 	case c.Effect == Keyed:
-		return firstRun + c.DedupWindow - dedupMarginTicks*a.settings.Tick - a.now
+		return first.sentAt + c.DedupWindow - dedupMarginTicks*a.settings.Tick - a.now
 	}
 	return 0
 }
--- a/aggregator/retry_test.go
+++ b/aggregator/retry_test.go
@@ -40,6 +40,54 @@
 	}
 }
 
+// TestDedupWindowCountsFromTheFirstAttempt guards against a keyed part that is sent again after its deduplication window: a
+// hedged request that ends first must not move the start of the window, which is the send time of the earliest attempt that may
+// have run, in whichever order the attempts end.
+func TestDedupWindowCountsFromTheFirstAttempt(t *testing.T) {
+	const window = time.Second
+	for _, c := range []struct {
+		name          string
+		first, hedged Outcome
+		firstEndsAt   time.Duration // after its send
+		hedgeEnds     bool          // before the first attempt does
+		want          int
+	}{
+		{"the hedged request fails first, the first attempt after the window", Reset, Errored, 1300 * ms, true, 2},
+		{"the hedged request fails first, the first attempt within the window", Reset, Errored, 850 * ms, true, 3},
+		{"the hedged request is open, the first attempt fails after the window", Reset, 0, 1300 * ms, false, 2},
+		{"only the hedged request may have run", ConnectFailed, Errored, 1300 * ms, true, 3},
+		{"the hedged request never ran", Reset, Rejected, 1300 * ms, true, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Limits.Hedging = true
+			set.Classes[0].Effect, set.Classes[0].DedupWindow = Keyed, window
+			set.Classes[0].LateShare = 0.5 // the query goes on after its objective
+			h := newHarness(t, set, members("a", "b", "c")...)
+			h.answerQueries(20)
+			h.runFor(set.Tick)
+			first := h.now
+			h.step(queryEvents("q", 3*time.Second, 0)...)
+			hung := h.last[0].Replica
+			for h.attempts["q/0"] < 2 && h.now < first+window { // the others answer, so that the part is hedged
+				h.answerQueries(1, hung)
+			}
+			if h.attempts["q/0"] != 2 {
+				t.Fatalf("%d attempts after %v, want a hedged request", h.attempts["q/0"], h.now-first)
+			}
+			if c.hedgeEnds {
+				h.step(attemptEnded("q/0", 1, c.hedged))
+			}
+			h.now = max(h.now, first+c.firstEndsAt)
+			h.step(attemptEnded("q/0", 0, c.first))
+			h.runFor(20 * ms)
+			if h.attempts["q/0"] != c.want {
+				t.Errorf("%d attempts, the last at most %v after the first; want %d", h.attempts["q/0"], h.now-first, c.want)
+			}
+		})
+	}
+}
+
 // TestOverdueAttemptIsCancelledBeforeTheRetry checks that, without hedging, an overdue attempt is cancelled before the part
 // is sent again.
 func TestOverdueAttemptIsCancelledBeforeTheRetry(t *testing.T) {
