Data node answers: the end of a frame is checked however it arrives, not by what a buffer holds

Cause: frameFollows took an empty buffer for a good end of the frame. The buffer has 1,024 bytes, and a long value is read past it, so nothing is ever held behind one. The same showed for 40 bytes that arrived in pieces of 7.

Change: frameReader.checkEnd. A frame that arrived in one piece with nothing behind it is whole; behind any other one the connection is looked at for 5 ms at most, where another frame may follow, or nothing. Holds for answers to probes too.

--- a/internal/platform/frame.go
+++ b/internal/platform/frame.go
@@ -22,6 +22,12 @@
 
 	maxFrameBytes = maxBody + 1<<10 // longest frame that a data node may send
 	maxFrameLine  = 1 << 10         // longest line in a frame, and longest payload of a frame that is not an answer
+
+	// readFrameTimeout limits the time from the first byte of a frame to its last. Data nodes write each frame in one piece.
+	readFrameTimeout = 100 * time.Millisecond
+	// frameEndWait is how long nothing must follow a frame that has not arrived in one piece. The rest of the same write takes one
+	// round trip at most, when it waits for the receive window.
+	frameEndWait = 5 * time.Millisecond
 )
 
 // Frame types.
@@ -87,15 +93,38 @@
 	loadReport map[string]float64
 }
 
+// frameConn is the connection that a frameReader reads from.
+type frameConn interface {
+	io.Reader
+	SetReadDeadline(t time.Time) error
+}
+
+// pieceReader reads from a connection and records how the data arrives.
+type pieceReader struct {
+	frameConn
+	reads  int
+	filled bool // the last read filled its buffer, so more may have arrived
+}
+
+func (p *pieceReader) Read(buf []byte) (int, error) {
+	n, err := p.frameConn.Read(buf)
+	p.reads++
+	p.filled = n == len(buf)
+	return n, err
+}
+
 // frameReader reads the frames of a data node. It accepts only what is unambiguously a valid answer: an error that wraps
 // errCorrupt means that sender and reader no longer agree on where frames begin.
 type frameReader struct {
+	conn    *pieceReader
 	in      *bufio.Reader
+	begunAt int                  // value of conn.reads when the current frame began
 	expects func(id string) bool // reports whether the answer to a part may arrive
 }
 
-func newFrameReader(in io.Reader, expects func(id string) bool) *frameReader {
-	return &frameReader{in: bufio.NewReaderSize(in, maxFrameLine), expects: expects}
+func newFrameReader(conn frameConn, expects func(id string) bool) *frameReader {
+	pieces := &pieceReader{frameConn: conn}
+	return &frameReader{conn: pieces, in: bufio.NewReaderSize(pieces, maxFrameLine), expects: expects}
 }
 
 // awaitFrame blocks until the first byte of a frame has arrived.
@@ -104,8 +133,13 @@
 	return err
 }
 
-// next reads a frame. It allocates memory only after the header has been validated.
+// next reads a frame. It allocates memory only after the header has been validated. The frame counts only once checkEnd has
+// found no error.
 func (r *frameReader) next() (receivedFrame, error) {
+	if err := r.awaitFrame(); err != nil {
+		return receivedFrame{}, err
+	}
+	r.begunAt = r.conn.reads
 	header, err := r.in.Peek(frameHeaderBytes)
 	if err != nil {
 		return receivedFrame{}, err
@@ -160,23 +194,37 @@
 	if _, err := io.ReadFull(r.in, value); err != nil {
 		return receivedFrame{}, err
 	}
-	// A wrong length either truncates the value, so that its remainder follows, or includes the start of the next frame.
-	if !isText(value) || !r.frameFollows() {
+	// A length that is too large includes the start of the next frame, which is no text.
+	if !isText(value) {
 		return receivedFrame{}, fmt.Errorf("%w: invalid value of part %s", errCorrupt, words[0])
 	}
 	return receivedFrame{id: words[0], outcome: answerOutcomes[words[1]], value: value,
 		loadReport: parseLoadReport(strings.Join(words[3:], " "))}, nil
 }
 
-// frameFollows reports whether the bytes buffered behind a frame, if any, start with a valid frame header.
-func (r *frameReader) frameFollows() bool {
-	if r.in.Buffered() == 0 {
-		return true
+// checkEnd checks where the frame that next has returned ends: nothing may follow it but another frame. Behind a frame with a
+// length that is too small follows its remainder, and behind one that is too large the rest of the next frame. Data nodes write a
+// frame in one piece. If it has not arrived in one, its remainder may still be on the way: checkEnd waits for it.
+func (r *frameReader) checkEnd() error {
+	if r.in.Buffered() == 0 && r.arrivedInOnePiece() {
+		return nil
+	}
+	// If setting a deadline fails, the connection is closed and the read fails too.
+	_ = r.conn.SetReadDeadline(time.Now().Add(frameEndWait))
+	if r.awaitFrame() != nil {
+		return nil // silence, or the end of the connection: nothing follows
 	}
-	next, err := r.in.Peek(frameHeaderBytes)
-	return err == nil && validHeader(parseHeader(next))
+	_ = r.conn.SetReadDeadline(time.Now().Add(readFrameTimeout))
+	header, err := r.in.Peek(frameHeaderBytes)
+	if err != nil || !validHeader(parseHeader(header)) {
+		return fmt.Errorf("%w: %.20q follows a frame", errCorrupt, header)
+	}
+	return nil
 }
 
+// arrivedInOnePiece reports whether the current frame, and nothing behind it, had arrived when it was begun.
+func (r *frameReader) arrivedInOnePiece() bool { return r.conn.reads == r.begunAt && !r.conn.filled }
+
 // parseHeader returns the payload length and the type of a frame.
 func parseHeader(header []byte) (n int, frameType byte) {
 	return int(binary.LittleEndian.Uint32(header)) - 1, header[frameLengthBytes]
--- a/internal/platform/frame_test.go
+++ b/internal/platform/frame_test.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -34,6 +37,11 @@
 	}
 }
 
+// textConn is a connection on which a text arrives.
+type textConn struct{ *strings.Reader }
+
+func (textConn) SetReadDeadline(time.Time) error { return nil }
+
 func TestFrameReader(t *testing.T) {
 	answer := encodeFrame("Aq.3 ok 18 inflight=7,util=0.5\nvalue")
 	load := map[string]float64{"inflight": 7, "util": 0.5}
@@ -65,10 +73,13 @@
 		{"length that truncates the value", encodeFrame("Aq.3 ok 0 -\nval") + "ue of the answer", nil, errCorrupt},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := newFrameReader(strings.NewReader(c.in), func(id string) bool { return id == "q.3" })
+			r := newFrameReader(textConn{strings.NewReader(c.in)}, func(id string) bool { return id == "q.3" })
 			var got []receivedFrame
 			for {
 				f, err := r.next()
+				if err == nil {
+					err = r.checkEnd()
+				}
 				if err != nil {
 					if !errors.Is(err, c.end) {
 						t.Errorf("ended with %v, want %v", err, c.end)
@@ -83,3 +94,49 @@
 		})
 	}
 }
+
+// TestWrongLengthIsFound guards against a value that is served cut off because the length of its frame is too small: however long
+// the value is and in whichever pieces it arrives, its remainder must be found. Frames with the right length pass.
+func TestWrongLengthIsFound(t *testing.T) {
+	pieces := []int{1, 7, 536, 1024, 1448, 4096, 1 << 20} // bytes that arrive at once
+	for _, size := range []int{1, 40, 1000, 1010, 1500, 2000, 6000, 60_000} {
+		for _, missing := range []int{0, 1, 4, 5, 900, 1500, 5000} {
+			if missing > size {
+				continue
+			}
+			for _, piece := range pieces {
+				frame := encodeFrame("Aq.3 ok 18 -\n" + strings.Repeat("v", size))
+				spoilt := encodeFrame("Aq.3 ok 18 -\n" + strings.Repeat("v", size-missing))[:frameLengthBytes] + frame[frameLengthBytes:]
+				if err := readFrameInPieces(t, spoilt, piece); (err == nil) != (missing == 0) {
+					t.Errorf("value of %d bytes with a length that is %d too small, in pieces of %d: %v", size, missing, piece, err)
+				}
+			}
+		}
+	}
+}
+
+// readFrameInPieces reads a frame that arrives in pieces 1 ms apart, the first eight of them of the given size, and returns the error.
+func readFrameInPieces(t *testing.T, frame string, piece int) (err error) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ours, theirs := net.Pipe()
+		var sender sync.WaitGroup
+		sender.Go(func() {
+			for range 8 {
+				n := min(piece, len(frame))
+				io.WriteString(theirs, frame[:n])
+				time.Sleep(time.Millisecond)
+				frame = frame[n:]
+			}
+			io.WriteString(theirs, frame)
+		})
+		ours.SetReadDeadline(time.Now().Add(readFrameTimeout))
+		r := newFrameReader(ours, func(string) bool { return true })
+		if _, err = r.next(); err == nil {
+			err = r.checkEnd()
+		}
+		ours.Close()
+		sender.Wait()
+	})
+	return err
+}
--- a/internal/platform/nodereader.go
+++ b/internal/platform/nodereader.go
@@ -10,9 +10,6 @@
 	"gullfall/internal/coordinator"
 )
 
-// readFrameTimeout limits the time from the first byte of a frame to its last. Data nodes write each frame in one piece.
-const readFrameTimeout = 100 * time.Millisecond
-
 // errUnsolicited reports data that arrived while no answer was expected.
 var errUnsolicited = errors.New("unsolicited data")
 
@@ -49,6 +46,10 @@
 	if err != nil {
 		return err
 	}
+	c.frameReceived()
+	if err := in.checkEnd(); err != nil {
+		return err
+	}
 	if f.id == "" {
 		return c.handleProbeAnswer(f)
 	}
@@ -76,8 +77,10 @@
 	return c.attempts.expects(id)
 }
 
-// frameReceived records that a frame was read completely. The caller holds the lock.
+// frameReceived records that a frame was read completely.
 func (c *nodeConn) frameReceived() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
 	c.lastReceived = time.Now()
 	c.lastUsed, c.unresponsive, c.inFrame = c.lastReceived, false, false
 }
@@ -86,7 +89,6 @@
 func (c *nodeConn) handleAnswer(f receivedFrame) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.frameReceived()
 	if pending := c.attempts.answered(f.id); pending != nil {
 		c.pool.Coordinator.Report(pending.Attempt, coordinator.Result{Outcome: f.outcome, Docs: [][]byte{f.value}, LoadReport: f.loadReport})
 	}
@@ -99,7 +101,6 @@
 	if len(c.probes) == 0 {
 		return fmt.Errorf("%w: unsolicited answer to a health check", errCorrupt)
 	}
-	c.frameReceived()
 	c.probeAnswered(coordinator.Result{Outcome: f.outcome, LoadReport: f.loadReport})
 	return nil
 }
--- a/internal/platform/scenario_node_test.go
+++ b/internal/platform/scenario_node_test.go
@@ -163,18 +163,19 @@
 // the client must receive the value of the next attempt.
 func corruptFrames() (script string) {
 	for i, frame := range []string{
-		`\x00\x00\x00\x00`,                                        // no type
-		`\x00\x00\x00\xc0Aq.0 ok 1 -\nvvvv`,                       // length of 3 GB
-		`\x10\x00\x00\x00Zq.0 ok 1 -\nvvvv`,                       // unknown type
-		`noise noise noise`,                                       // not a frame
-		`\x00\x40\x00\x00Aq.0 ok 1 -` + strings.Repeat("x", 2000), // line too long
-		`\x10\x00\x00\x00Aq.0 ok 1 - vvvv`,                        // line not terminated within its frame
-		`\x10\x00\x00\x00Aq.0 ok\nvvvvvvvv`,                       // line with words missing
-		`\x0e\x00\x00\x00Aq.0 ok 1 -\nvvvvvv`,                     // length too short
-		`\x20\x00\x00\x00Aq.0 ok 1 -\nvvvv`,                       // length too long, with nothing after it
-		`\x15\x00\x00\x00Aq.0 ok 1 -\nvvvv\x10\x00\x00\x00A`,      // length too long, with the next frame in the value
-		`\x10\x00\x00\x00Aq.0 ok 1 -\nvv\xff\xfe`,                 // invalid UTF-8
-		`\x0f\x00\x00\x00Lutil=0.5`,                               // no probe is pending
+		`\x00\x00\x00\x00`,                                          // no type
+		`\x00\x00\x00\xc0Aq.0 ok 1 -\nvvvv`,                         // length of 3 GB
+		`\x10\x00\x00\x00Zq.0 ok 1 -\nvvvv`,                         // unknown type
+		`noise noise noise`,                                         // not a frame
+		`\x00\x40\x00\x00Aq.0 ok 1 -` + strings.Repeat("x", 2000),   // line too long
+		`\x10\x00\x00\x00Aq.0 ok 1 - vvvv`,                          // line not terminated within its frame
+		`\x10\x00\x00\x00Aq.0 ok\nvvvvvvvv`,                         // line with words missing
+		`\x0e\x00\x00\x00Aq.0 ok 1 -\nvvvvvv`,                       // length too short
+		`\xa0\x11\x00\x00Aq.0 ok 1 -\n` + strings.Repeat("v", 6000), // length 1,500 too short, of a long value
+		`\x20\x00\x00\x00Aq.0 ok 1 -\nvvvv`,                         // length too long, with nothing after it
+		`\x15\x00\x00\x00Aq.0 ok 1 -\nvvvv\x10\x00\x00\x00A`,        // length too long, with the next frame in the value
+		`\x10\x00\x00\x00Aq.0 ok 1 -\nvv\xff\xfe`,                   // invalid UTF-8
+		`\x0f\x00\x00\x00Lutil=0.5`,                                 // no probe is pending
 		`\x05\x00\x00\x00Ewhat`,
 	} {
 		id := fmt.Sprintf("%c", 'a'+i)
