Flight: connections beyond the limit don't wait unread; silent ones make room

What callers would see: with as many silent connections as flight.connections allows, a call on a new connection waits until one of them has timed out (2 s), or beside connections in use up to 30 s, while its deadline passes.

Cause: netutil.LimitListener takes a place before it accepts, so at the limit nothing is accepted.

Change: limitListener always accepts; at the limit it closes the connection that has been silent the longest, 50 ms at least, or else the new one, with a log line. A call on an evicted connection never begins.

--- a/internal/flight/server.go
+++ b/internal/flight/server.go
@@ -3,6 +3,7 @@
 // and queries are admitted, and internal/session keeps the state between calls. For a slow reader, only its own answer is buffered.
 //
 //	server.go      the server, its limits and its shutdown   nodes.go       channels to data nodes
+//	listener.go    the limit on connections
 //	interceptor.go admission of calls, panics                nodecalls.go   calls to data nodes by DoExchange
 //	auth.go        authentication                            nodeparts.go   requests for single parts by DoGet
 //	tickets.go     signed tokens                             backoff.go     pauses between failed connections
@@ -28,7 +29,6 @@
 
 	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/flight"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
@@ -137,7 +137,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go s.tick(done)
-	return s.grpc.Serve(netutil.LimitListener(ln, conns))
+	return s.grpc.Serve(newLimitListener(ln, conns, s.Log))
 }
 
 // Drain stops listening, sends GOAWAY to the clients and refuses new streams with a retry delay. It returns once all open calls
