--- a/internal/platform/acceptor_test.go
+++ b/internal/platform/acceptor_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -16,10 +15,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"gullfall/aggregator"
-	"gullfall/internal/coordinator"
-	"gullfall/internal/membership"
 )
 
 // TestSilentClientsDontDelayOthers guards against an accept loop that waits while silent clients hold all places: requests on
@@ -168,30 +163,24 @@
 // place may be over by then, and must not be executed with its full time.
 func TestTimeInTheQueueCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := slog.New(slog.DiscardHandler)
-		set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, ShardSets: 1, Shards: 1, Reach: 1,
-			Classes: []aggregator.Class{{Name: "report", LatencyObjective: time.Second, Deadline: 3 * time.Second, Priority: 1, CompleteShare: 1, MinShare: 1}}}
-		c, err := coordinator.New(set, 7, log, membership.Config{})
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := newOneShardCoordinator(t)
 		ctx, stop := context.WithCancel(t.Context())
 		go c.Run(ctx)
 		ln := &queuedListener{queue: make(chan net.Conn, 3)}
-		server := &Server{Coordinator: c, Log: log, MaxConns: 1, BodyMemory: 1 << 20}
+		server := &Server{Coordinator: c, Log: slog.New(slog.DiscardHandler), MaxConns: 1, BodyMemory: 1 << 20}
 		go server.Serve(ln)
 		for _, request := range []struct {
-			deadlineMS int
-			want       string
-		}{{60, "400 "}, {2000, "503 "}} { // the second is executed: no data node is listed
+			id       string
+			deadline time.Duration
+			want     string
+		}{{"q1", 60 * time.Millisecond, "400 "}, {"q2", 2 * time.Second, "503 "}} { // the second is executed: no data node is listed
 			silent := ln.connect()
 			nc := ln.connect()
-			body := `{"shards":[{"shard":0,"weight":1}],"q":"text"}`
-			go fmt.Fprintf(nc, "POST /report HTTP/1.1\r\nReq-Id: q%d\r\nReq-Deadline-Ms: %[1]d\r\nContent-Length: %d\r\n\r\n%s", request.deadlineMS, len(body), body)
+			go io.WriteString(nc, oneShardRequest(request.id, request.deadline))
 			begun := time.Now()
 			got, err := readResponse(textproto.NewReader(bufio.NewReader(nc)))
 			if err != nil || !strings.HasPrefix(got, request.want) {
-				t.Errorf("a request with %d ms got %q, %v after %v; want %s", request.deadlineMS, got, err, time.Since(begun), request.want)
+				t.Errorf("a request with %v got %q, %v after %v; want %s", request.deadline, got, err, time.Since(begun), request.want)
 			}
 			nc.Close()
 			silent.Close()
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/textproto"
 	"strings"
@@ -10,7 +11,6 @@
 	"testing"
 	"time"
 
-	"gullfall/aggregator"
 	"gullfall/internal/coordinator"
 	"gullfall/internal/membership"
 )
@@ -244,20 +244,13 @@
 
 // TestLateAnswer: a query that is processed only after its deadline must still be answered, not dropped silently.
 func TestLateAnswer(t *testing.T) {
-	log := slog.New(slog.DiscardHandler)
-	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, ShardSets: 1, Shards: 1, Reach: 1,
-		Classes: []aggregator.Class{{Name: "report", LatencyObjective: time.Second, Deadline: 3 * time.Second, Priority: 1, CompleteShare: 1, MinShare: 1}}}
-	c, err := coordinator.New(set, 7, log, membership.Config{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := newOneShardCoordinator(t)
 	h := &harness{t: t, network: loopback}
 	ours, theirs := h.connPair()
 	defer ours.Close()
-	clients := &Server{Coordinator: c, Log: log, MaxConns: 9, BodyMemory: 1 << 20}
+	clients := &Server{Coordinator: c, Log: slog.New(slog.DiscardHandler), MaxConns: 9, BodyMemory: 1 << 20}
 	go func() { (&acceptor{server: clients}).place(theirs).run() }()
-	body := `{"shards":[{"shard":0,"weight":1}],"q":"text"}`
-	fmt.Fprintf(ours, "POST /report HTTP/1.1\r\nReq-Id: q\r\nReq-Deadline-Ms: 100\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	io.WriteString(ours, oneShardRequest("q", 100*time.Millisecond))
 	time.Sleep(120 * time.Millisecond)
 	go c.Run(t.Context())
 	ours.SetReadDeadline(time.Now().Add(time.Second))
@@ -270,14 +263,8 @@
 // TestNothingIsSentForGoneClients guards against parts that are sent for a client that has left before its request was read, as
 // one whose connection has waited in the listener's queue.
 func TestNothingIsSentForGoneClients(t *testing.T) {
-	const requests = 300
-	log := slog.New(slog.DiscardHandler)
-	set := aggregator.Settings{Aggregators: 1, Tick: time.Millisecond, ShardSets: 1, Shards: 1, Reach: 1,
-		Classes: []aggregator.Class{{Name: "report", LatencyObjective: time.Second, Deadline: 3 * time.Second, Priority: 1, CompleteShare: 1, MinShare: 1}}}
-	c, err := coordinator.New(set, 7, log, membership.Config{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	const requests = 1500 // without the check, a few in 300 were sent
+	c := newOneShardCoordinator(t)
 	go c.Run(t.Context())
 	var calls atomic.Int32
 	c.RegisterDispatcher("", func(n *coordinator.Node) {
@@ -290,11 +277,10 @@
 	})
 	c.AddSource(membership.Spec{Name: "list"}).ReplaceList([]coordinator.Member{{ID: "n1", Weight: 1}}, false)
 	h := &harness{t: t, network: loopback}
-	clients := &Server{Coordinator: c, Log: log, MaxConns: 9, BodyMemory: 1 << 20}
-	body := `{"shards":[{"shard":0,"weight":1}],"q":"text"}`
+	clients := &Server{Coordinator: c, Log: slog.New(slog.DiscardHandler), MaxConns: 9, BodyMemory: 1 << 20}
 	for i := range requests {
 		ours, theirs := h.connPair()
-		fmt.Fprintf(ours, "POST /report HTTP/1.1\r\nReq-Id: q%d\r\nReq-Deadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n%s", i, len(body), body)
+		io.WriteString(ours, oneShardRequest(fmt.Sprint("q", i), 2*time.Second))
 		ours.Close()
 		(&acceptor{server: clients}).place(theirs).run()
 	}
--- a/internal/platform/testwire_test.go
+++ b/internal/platform/testwire_test.go
@@ -5,10 +5,16 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/textproto"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
+
+	"gullfall/aggregator"
+	"gullfall/internal/coordinator"
+	"gullfall/internal/membership"
 )
 
 // readResponse reads an HTTP response. It returns the status, "after" if Retry-After is set, "close" if the connection closes, and
@@ -82,3 +88,21 @@
 func encodeFrame(body string) string {
 	return string(binary.LittleEndian.AppendUint32(nil, uint32(len(body)))) + body
 }
+
+// newOneShardCoordinator returns a coordinator with one class and one shard, and no data node. The caller runs it.
+func newOneShardCoordinator(t *testing.T) *coordinator.Coordinator {
+	t.Helper()
+	set := aggregator.Settings{Aggregators: 1, Tick: 5 * time.Millisecond, ShardSets: 1, Shards: 1, Reach: 1,
+		Classes: []aggregator.Class{{Name: "report", LatencyObjective: time.Second, Deadline: 3 * time.Second, Priority: 1, CompleteShare: 1, MinShare: 1}}}
+	c, err := coordinator.New(set, 7, slog.New(slog.DiscardHandler), membership.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// oneShardRequest returns a request for a query to a coordinator with one shard.
+func oneShardRequest(id string, deadline time.Duration) string {
+	body := `{"shards":[{"shard":0,"weight":1}],"q":"text"}`
+	return fmt.Sprintf("POST /report HTTP/1.1\r\nReq-Id: %s\r\nReq-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", id, deadline.Milliseconds(), len(body), body)
+}
