--- a/internal/platform/doc.go
+++ b/internal/platform/doc.go
@@ -1,7 +1,8 @@
 // Package platform implements the platform's protocol: HTTP/1.1 to clients and discovery, binary frames to data nodes. All
 // scheduling decisions are left to the coordinator, and no input from a peer can end the process.
 //
-//	listener.go      server for clients: accept loop, drain
+//	listener.go      server for clients: its limits, drain
+//	acceptor.go      accept loop, and the wait for a place at the limit
 //	connlimit.go     limit on client connections, and eviction to make room for new ones
 //	clientconn.go    life cycle of a client connection
 //	readahead.go     reading side of a client connection
@@ -14,6 +15,6 @@
 //	connpool.go      connections to data nodes, and their descriptors
 //	nodeconn.go      life cycle of a data node connection; nodewriter.go and nodereader.go hold its two directions
 //	attempttable.go  attempts on a data node connection, and which answers are expected
-//	frame.go         frame codec; loadreport.go parses load reports
+//	frame.go         frame format; framereader.go reads frames, loadreport.go parses load reports
 //	healthcheck.go   health checks on demand
 package platform
