Loopback scenarios: a step waits until the program has noticed, not for 3 ms

All are the harness's.

The query of "a drain is told ..." has 1 s, so its refusal has to come sooner than before.

--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -140,9 +140,10 @@
 		n1 send A q2.0 ok v
 		c2 expect 200
 		n1 expect -`},
+	// The query ends half a second before its time at the latest, so that the refusal is seen within the second that is waited for it.
 	{"a drain is told while a part waits for a connection", "n1", `
 		n1 hold
-		c1 send query q1 2000 0
+		c1 send query q1 1000 0
 		d1 expect GET /discovery/hosts?watch=1&after=41
 		d1 send page {"version":42,"servers":[{"id":"n1","addr":"n1","cell":0,"state":"DRAINING"}]}
 		n1 release
--- a/internal/platform/scenariosend_test.go
+++ b/internal/platform/scenariosend_test.go
@@ -79,8 +79,24 @@
 		h.t.Errorf("%s has no connection to send %q on", a.name, text)
 		return
 	}
-	go func() { io.WriteString(nc, data) }() // a write to a pipe blocks until it is read
+	isPage := words[0] == "page" || words[0] == "indented" || words[0] == "restarted"
+	applied, written := h.pages.Load(), make(chan struct{})
+	go func() { // a write to a pipe blocks until it is read
+		defer close(written)
+		io.WriteString(nc, data)
+	}()
 	h.waitSettled()
+	h.waitNoticed(func() bool { return isClosed(written) && (!isPage || h.pages.Load() > applied) })
+}
+
+// isClosed reports whether a channel is closed.
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
 }
 
 // serveConn serves a client's connection, if there is a place for it.
--- a/internal/platform/scenarioworld_test.go
+++ b/internal/platform/scenarioworld_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -61,6 +62,7 @@
 	stop        context.CancelFunc
 	unwatch     context.CancelFunc // ends the watch
 	watchDone   chan struct{}      // closed once the watch has ended
+	pages       atomic.Int64       // pages of discovery that the program has applied
 	serveExtra  sync.WaitGroup     // goroutines that serve the connections in extraConns
 
 	// mu guards the fields below.
@@ -79,6 +81,25 @@
 	synctest.Wait()
 }
 
+// noticeTimeout is how long the program may take to notice an event on a loopback connection. The rules allow so long from a client's
+// close to the last attempt for it, and longer for a drain.
+const noticeTimeout = 100 * time.Millisecond
+
+// waitNoticed waits on loopback connections until the program has noticed an event, at most for noticeTimeout. The next step of the script
+// may then rely on it also on a busy machine. On pipes waitSettled is enough.
+func (h *harness) waitNoticed(noticed func() bool) {
+	for end := time.Now().Add(noticeTimeout); h.network == loopback && !noticed() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// openConns returns the number of client connections that the program holds.
+func (h *harness) openConns() int {
+	h.clients.mu.Lock()
+	defer h.clients.mu.Unlock()
+	return len(h.clients.conns)
+}
+
 // connPair returns the two ends of a new connection.
 func (h *harness) connPair() (ours, theirs net.Conn) {
 	if h.network == pipes {
@@ -162,6 +183,7 @@
 		list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"cell":%d,"state":"SERVING"}`, id, id, (id[1]+1)%2))
 	}
 	h.actor("d1")
+	h.watch.Persist = func([]byte) { h.pages.Add(1) }
 	h.watch.ConfirmTimeout = time.Duration(confirm) * time.Millisecond
 	h.watch.Restore(fmt.Appendf(nil, `{"version":41,"servers":[%s]}`, strings.Join(list, ",")))
 	h.watchDone = make(chan struct{})
@@ -220,10 +242,14 @@
 			h.t.Errorf("line %d, %s: (-want +got)\n%s", number, line, diff)
 		}
 	case "close":
+		held := h.openConns()
 		a.nc.Close()
 		a.nc = nil
 		for <-a.msgs != "end" { // discard what its reader still received
 		}
+		if a.name[0] == 'c' {
+			h.waitNoticed(func() bool { return h.openConns() < held })
+		}
 	case "half-close":
 		if err := a.nc.(*net.TCPConn).CloseWrite(); err != nil {
 			h.t.Fatal(err)
