--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -27,7 +27,7 @@
 )
 
 // cases are the cases by name.
-var cases = map[string]func(*run) int{"twice": twice, "crash": crash, "restart": restart, "altered": altered, "pipeline": pipeline, "flap": flap, "swollen": swollen, "slow": slow}
+var cases = map[string]func(*run) int{"twice": twice, "crash": crash, "restart": restart, "altered": altered, "pipeline": pipeline, "flap": flap, "swollen": swollen, "slow": slow, "gone": gone, "transfer": transfer, "hidden": hidden}
 
 // siteClasses returns classes with the figures of the first site; effect is that of the first one.
 func siteClasses(effect string) []object {
@@ -585,3 +585,180 @@
 		bytes += len(m.GetDataBody())
 	}
 }
+
+// gone plays a client of the Arrow Flight front that fetches a flight and closes its connection while its parts are out, at data nodes
+// whose first answer to a part is an error.
+func gone(r *run) (broken int) {
+	var mu sync.Mutex
+	var left time.Time
+	begun := map[string]int{}
+	do := func(n *node, p part) reply {
+		mu.Lock()
+		defer mu.Unlock()
+		if begun[p.id]++; !left.IsZero() && time.Since(left) > 150*time.Millisecond {
+			broken++
+			r.note("part %s begins %v after the client has left", p.id, time.Since(left).Round(time.Millisecond))
+		}
+		if begun[p.id] == 1 {
+			return reply{after: 400 * time.Millisecond, end: "err"}
+		}
+		return sound(n, p)
+	}
+	listen, front := freeAddr("tcp"), freeAddr("tcp")
+	r.spawn("n0", listen, config("n0", listen, startAgent(steadyNodes(r, do)...).addr, settings(siteClasses("safe"), []float64{1, 1, 0.5})),
+		fmt.Sprintf("[flight]\nlisten = %q\n", front))
+	time.Sleep(500 * time.Millisecond)
+	c := dialFlight(front)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	info, err := c.GetFlightInfo(ctx, &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: fmt.Appendf(nil, `{"class":"game-lookup","owner":"club",%s`, wide()[1:])})
+	must(err)
+	stream, err := c.DoGet(ctx, info.Endpoint[0].Ticket)
+	must(err)
+	if r.trouble {
+		time.Sleep(200 * time.Millisecond)
+		must(c.Close())
+		mu.Lock()
+		left = time.Now()
+		mu.Unlock()
+		time.Sleep(3 * time.Second)
+	} else {
+		for err == nil {
+			_, err = stream.Recv()
+		}
+		r.say("the stream ended: %v", err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	r.say("%d attempts began over 0.15 s after the client had closed its connection", broken)
+	return broken
+}
+
+// transfer plays a name server whose TCP side falls silent, so that zone transfers hang, and a data node whose record is removed after.
+func transfer(r *run) (broken int) {
+	var mu sync.Mutex
+	var removed time.Time
+	worst := time.Duration(0)
+	do := func(n *node, p part) reply {
+		mu.Lock()
+		defer mu.Unlock()
+		if n.id == "s-0" && !removed.IsZero() {
+			worst = max(worst, time.Since(removed))
+			if time.Since(removed) > 2050*time.Millisecond {
+				broken++
+			}
+		}
+		return sound(n, p)
+	}
+	zone := nameserver.NewZone("recife.example.org.", 60)
+	var records []nameserver.Instance
+	for i := range 8 {
+		n := r.startNode(fmt.Sprintf("s-%d", i), do)
+		records = append(records, nameserver.Instance{Label: fmt.Sprintf("node %d", i), Service: "_dn._tcp", Weight: 100, Addr: netip.MustParseAddrPort(n.addr),
+			Text: []string{"txtvers=1", "id=" + n.id, fmt.Sprintf("cell=%d", i%4), "zone=a", longAgo()}})
+	}
+	zone.Set(records...)
+	server, err := nameserver.Start(zone, nil)
+	must(err)
+	must(server.Do("transfer on"))
+	front := delayUDP(server.Addr(), time.Millisecond)
+	ln, err := net.Listen("tcp", front)
+	must(err)
+	var silent atomic.Bool
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if silent.Load() {
+				defer nc.Close()
+				continue
+			}
+			go func() {
+				defer nc.Close()
+				back, err := net.Dial("tcp", server.Addr())
+				if err != nil {
+					return
+				}
+				defer back.Close()
+				go func() { _, _ = io.Copy(back, nc) }()
+				_, _ = io.Copy(nc, back)
+			}()
+		}
+	}()
+	listen := freeAddr("tcp")
+	p := r.spawn("n0", listen, config("n0", listen, startAgent().addr, settings(siteClasses("safe"), []float64{1, 1, 0.5})), zoneTable(front))
+	time.Sleep(3 * time.Second)
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for i := 0; time.Since(begun) < 25*time.Second; i++ {
+		if removed.IsZero() && time.Since(begun) > 5*time.Second {
+			silent.Store(r.trouble)
+			zone.Remove("node 0")
+			mu.Lock()
+			removed = time.Now()
+			mu.Unlock()
+			r.note("the record of s-0 is removed")
+		}
+		wg.Go(func() {
+			_, _ = httpCall(listen, query("game-lookup", fmt.Sprintf("%016x", 0xa0000+i), 4*time.Second, "c41e77d0", i%16, (i+1)%16, (i+2)%16, (i+3)%16), 6*time.Second)
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	wg.Wait()
+	r.note("log:\n%s", p.log(3000))
+	r.say("%d parts begun at a removed data node later than 2.05 s after its record was removed, the last %v after", broken, worst.Round(time.Millisecond))
+	return broken
+}
+
+// hidden plays bad clients whose requests have both Content-Length and Transfer-Encoding, and hide another request in their body.
+func hidden(r *run) (broken int) {
+	var mu sync.Mutex
+	ran := map[string]bool{}
+	do := func(n *node, p part) reply {
+		mu.Lock()
+		defer mu.Unlock()
+		id, _, _ := strings.Cut(p.id, ".")
+		ran[id] = true
+		return sound(n, p)
+	}
+	listen := freeAddr("tcp")
+	r.spawn("n0", listen, config("n0", listen, startAgent(steadyNodes(r, do)...).addr, settings(siteClasses("safe"), []float64{1, 1, 0.5})), "")
+	time.Sleep(500 * time.Millisecond)
+	forms := []string{"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: %d\r\n",
+		"Content-Length : %d\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length : %d\r\n",
+		"Transfer-Encoding: chunked\r\n Content-Length: %d\r\n", "X: y\r\n Content-Length: %d\r\nTransfer-Encoding: chunked\r\n",
+		"Content-Length\t: %d\r\nTransfer-Encoding: chunked\r\n", "Content-Length: %d\r\nTransfer-Encoding : chunked\r\n",
+		" Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", "Content-Length: %d\r\nTransfer-Encoding: identity\r\n"}
+	for i := range 40 {
+		usual := fmt.Sprintf("%016x", 0xc0000+i)
+		a, err := httpCall(listen, query("game-lookup", usual, 3*time.Second, "c41e77d0", i%16, (i+1)%16, (i+2)%16, (i+3)%16), 4*time.Second)
+		r.note("query %s: %d %v", usual, a.status, err)
+		if !r.trouble {
+			continue
+		}
+		inner := fmt.Sprintf("%016x", 0xa0000+i)
+		body := "0\r\n\r\n" + query("game-lookup", inner, 3*time.Second, "c41e77d0", 0, 1, 2, 3)
+		request := fmt.Sprintf("POST /game-lookup HTTP/1.1\r\nHost: api.internal\r\nReq-Id: %016x\r\nReq-Owner: club\r\nReq-Deadline-Ms: 3000\r\n"+
+			forms[i%len(forms)]+"\r\n%s", 0xb0000+i, len(body), body)
+		nc, err := net.Dial("tcp", listen)
+		must(err)
+		_ = nc.SetDeadline(time.Now().Add(4 * time.Second))
+		_, _ = io.WriteString(nc, request)
+		in := bufio.NewReader(nc)
+		first, err := readAnswer(in)
+		second, err2 := readAnswer(in)
+		_ = nc.Close()
+		time.Sleep(200 * time.Millisecond)
+		mu.Lock()
+		passed := ran[inner]
+		mu.Unlock()
+		r.note("form %q: first answer %d %v, second %d %v; hidden request %s passed on: %v", forms[i%len(forms)], first.status, err, second.status, err2, inner, passed)
+		if passed {
+			broken++
+		}
+	}
+	r.say("%d hidden requests were passed on to data nodes", broken)
+	return broken
+}
